Thin whole path as separate processes

Cause: nothing existed. What stands now: the router daemon, the operators' client and the stand-ins as processes, the core with grants, ledger, claims, queues, membership, recovery, configuration and shutdown, and a scenario that sends a request of each kind through three routers.

Nothing is proved under failure yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+BIN := $(CURDIR)/.bin
+
+.PHONY: build demo test check tools generate bench experiment
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	./demo/run.sh
+
+test: build
+	$(GO) test ./...
+
+tools: $(BIN)/staticcheck $(BIN)/gofumpt
+
+$(BIN)/staticcheck $(BIN)/gofumpt: tools/go.mod tools/go.sum
+	cd tools && GOBIN=$(BIN) $(GO) install tool
+
+check: tools
+	@test -z "$$($(BIN)/gofumpt -l .)" || { $(BIN)/gofumpt -l .; exit 1; }
+	$(GO) vet ./...
+	$(BIN)/staticcheck ./...
+
+# generate needs protoc, Debian's protobuf-compiler; its output is committed.
+generate: tools
+	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=hawthornspar io/wire/wire.proto
--- /dev/null
+++ b/core/entity/phase.go
@@ -0,0 +1,10 @@
+package entity
+
+// String names the phase in reports.
+func (p Phase) String() string {
+	names := []string{"funding", "queued", "claiming", "running", "settling", "watching", "forwarded", "over"}
+	if p < 0 || int(p) >= len(names) {
+		return "unknown"
+	}
+	return names[p]
+}
--- /dev/null
+++ b/core/report.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"time"
+
+	"hawthornspar/core/entity"
+)
+
+// Report copies this VM's state for an operator's query.
+func (r *Router) Report() entity.Report {
+	w := r.World
+	report := entity.Report{
+		VM: w.Self.Name, Incarnation: w.Self.Incarnation, Domain: w.Self.Domain,
+		Ready: w.Ready, Leaving: w.Leaving, TableUp: w.TableUp, ConfigVersion: w.Config.Version,
+		Unflushed: r.flush.Unflushed(), Held: r.copies.Held(),
+		Quarantined: w.Config.Barred.Keys(),
+	}
+	for _, g := range w.Grants.Rows() {
+		report.Budgets = append(report.Budgets, entity.BudgetReport{
+			Budget: g.Budget, Prepaid: g.Row.Prepaid, Left: g.Row.Left(),
+			Drawn: g.Drawn - g.Returned, Spent: g.Spent, Reserved: g.Reserved, Free: g.Free(),
+		})
+	}
+	for _, q := range w.Requests.Rows() {
+		report.Requests = append(report.Requests, entity.RequestReport{
+			Account: q.Account, RequestKey: q.RequestKey, Service: q.Service, Rank: q.Rank,
+			Phase: q.Phase.String(), Endpoint: q.Endpoint, AgeMillis: w.Now.Sub(q.Arrived).Milliseconds(),
+		})
+	}
+	r.reportPlaces(&report)
+	return report
+}
+
+func (r *Router) reportPlaces(report *entity.Report) {
+	w := r.World
+	for _, e := range w.Endpoints.Rows() {
+		report.Endpoints = append(report.Endpoints, entity.EndpointReport{
+			Endpoint: e.Spec.Name, Domain: e.Spec.Domain, InFlight: e.InFlight, Window: int(e.Window),
+			Leaving: e.Spec.Leaving, Down: w.Now.Before(e.DownUntil), Completed: e.Completed,
+		})
+	}
+	for _, p := range w.Peers.Rows() {
+		heard := !p.HeardAt.IsZero() && w.Now.Sub(p.HeardAt) < w.Policy.PeerSilence+time.Second
+		report.Peers = append(report.Peers, entity.PeerReport{
+			VM: p.Name, Address: p.Address, Domain: p.Domain, Heard: heard, Leaving: p.Leaving, ConfigVersion: p.ConfigVersion,
+		})
+	}
+	for _, key := range w.Refusals.Keys() {
+		n, _ := w.Refusals.Get(key)
+		report.Refusals = append(report.Refusals, entity.RefusalReport{
+			Account: key.Account, Rank: key.Rank, Reason: key.Reason, Count: n,
+		})
+	}
+}
--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,181 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"hawthornspar/core/entity"
+	"hawthornspar/core/inbox"
+	"hawthornspar/core/outbox"
+	"hawthornspar/io/protobuf"
+)
+
+// callTimeout bounds one call. A later answer counts as lost.
+const callTimeout = time.Second
+
+// Post takes events for the core.
+type Post func(inbox.Event)
+
+// Client calls the platform. Each call runs on its own goroutine and posts
+// its outcome.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+	post Post
+}
+
+// New returns a client of the platform at address, an IP:port.
+func New(address string, post Post) *Client {
+	client := &http.Client{
+		Timeout:   callTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute},
+	}
+	return &Client{base: sling.New().Client(client).Base("http://" + address), http: client, post: post}
+}
+
+// StatusError says that the platform answered with an unexpected status.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "platform answered " + http.StatusText(e.Status) }
+
+// Transact starts a transaction.
+func (c *Client) Transact(t outbox.Transact) { go (&transactCall{client: c, transact: t}).run() }
+
+// Read starts a read.
+func (c *Client) Read(r outbox.Read) { go (&readCall{client: c, read: r}).run() }
+
+// List starts a request for the list of VMs.
+func (c *Client) List() { go (&listCall{client: c}).run() }
+
+type transactCall struct {
+	client   *Client
+	transact outbox.Transact
+}
+
+func (t *transactCall) run() {
+	body := Transaction{}
+	for _, k := range t.transact.Checks {
+		body.Checks = append(body.Checks, Check{Key: k.Key, Version: k.Version})
+	}
+	for _, p := range t.transact.Puts {
+		body.Puts = append(body.Puts, Put{Key: p.Key, Value: protobuf.Encode(p.Document)})
+	}
+	t.client.post(t.call(body))
+}
+
+func (t *transactCall) call(body Transaction) inbox.TransactDone {
+	done := inbox.TransactDone{ID: t.transact.ID, Outcome: inbox.Unknown}
+	var commit Commit
+	var current Rows
+	response, err := t.client.base.New().Post(PathTransact).BodyJSON(body).Receive(&commit, &current)
+	if err != nil {
+		return done
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+		done.Outcome, done.Version = inbox.Committed, commit.Version
+	case http.StatusConflict:
+		rows, err := decodeRows(current.Rows)
+		if err == nil {
+			done.Outcome, done.Current = inbox.Conflicted, rows
+		}
+	}
+	return done
+}
+
+func decodeRows(rows []Row) ([]entity.Row, error) {
+	var decoded []entity.Row
+	for _, row := range rows {
+		r := entity.Row{Key: row.Key, Version: row.Version}
+		if row.Version != 0 {
+			document, err := protobuf.Decode(row.Key, row.Value)
+			if err != nil {
+				return nil, errors.Wrap(err, "rows")
+			}
+			r.Document = document
+		}
+		decoded = append(decoded, r)
+	}
+	return decoded, nil
+}
+
+type readCall struct {
+	client *Client
+	read   outbox.Read
+}
+
+func (r *readCall) run() {
+	done := inbox.ReadDone{ID: r.read.ID}
+	rows, err := r.client.ReadNow(r.read.Keys, r.read.Prefixes)
+	if err == nil {
+		done.OK, done.Rows = true, rows
+	}
+	r.client.post(done)
+}
+
+// ReadNow reads rows and waits for them.
+func (c *Client) ReadNow(keys, prefixes []string) ([]entity.Row, error) {
+	var rows Rows
+	response, err := c.base.New().Post(PathRead).BodyJSON(ReadRequest{Keys: keys, Prefixes: prefixes}).ReceiveSuccess(&rows)
+	if err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: response.StatusCode}
+	}
+	return decodeRows(rows.Rows)
+}
+
+type listCall struct{ client *Client }
+
+func (l *listCall) run() {
+	var list VMs
+	response, err := l.client.base.New().Get(PathVMs).ReceiveSuccess(&list)
+	done := inbox.ListDone{OK: err == nil && response.StatusCode == http.StatusOK}
+	for _, vm := range list.VMs {
+		done.VMs = append(done.VMs, entity.Listed{Name: vm.Name, Address: vm.Address, Domain: vm.Domain, Leaving: vm.Leaving})
+	}
+	l.client.post(done)
+}
+
+// PutObject stores an object and waits.
+func (c *Client) PutObject(ctx context.Context, name string, content []byte) error {
+	request, err := c.base.New().Put(PathObjects + name).Body(bytes.NewReader(content)).Request()
+	if err != nil {
+		return errors.Wrap(err, "object")
+	}
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return errors.Wrap(err, "object")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &StatusError{Status: response.StatusCode}
+	}
+	return nil
+}
+
+// GetObject fetches an object and waits. A missing one is a *StatusError with
+// status 404.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	request, err := c.base.New().Get(PathObjects + name).Request()
+	if err != nil {
+		return nil, errors.Wrap(err, "object")
+	}
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return nil, errors.Wrap(err, "object")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: response.StatusCode}
+	}
+	return io.ReadAll(response.Body)
+}
--- /dev/null
+++ b/io/settings/settings.go
@@ -0,0 +1,141 @@
+// Package settings reads the daemon's settings from flags and environment
+// variables and checks them all before anything starts.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/urfave/cli/v3"
+
+	"hawthornspar/io/certificate"
+)
+
+// Settings are the daemon's settings.
+type Settings struct {
+	Name          string        `validate:"required,max=64,excludesall=/ " flag:"name"`
+	Domain        string        `validate:"required,max=64" flag:"failure-domain"`
+	Listen        string        `validate:"required,ipport" flag:"listen"`
+	PeerListen    string        `validate:"required,ipport" flag:"peer-listen"`
+	PeerAddress   string        `validate:"required,ipport" flag:"peer-address"`
+	Operator      string        `validate:"required,ipport" flag:"operator-listen"`
+	Platform      string        `validate:"required,ipport" flag:"platform"`
+	Authority     string        `validate:"required,pem" flag:"authority"`
+	Certificate   string        `validate:"required,pem" flag:"certificate"`
+	Key           string        `validate:"required,pem" flag:"key"`
+	BootstrapHash string        `validate:"omitempty,len=64,hexadecimal" flag:"bootstrap-hash"`
+	FlushEvery    time.Duration `validate:"min=100ms,max=30s" flag:"flush-every"`
+	GrantHorizon  time.Duration `validate:"min=1s,max=1h" flag:"grant-horizon"`
+	ListLag       time.Duration `validate:"min=100ms,max=10m" flag:"list-lag"`
+	Verbosity     int           `validate:"min=0,max=2" flag:"verbosity"`
+}
+
+// Error names every wrong setting.
+type Error struct{ Problems []string }
+
+// Error implements error.
+func (e *Error) Error() string { return "wrong settings: " + strings.Join(e.Problems, "; ") }
+
+// Flags returns the daemon's flags. Each has an environment variable.
+func Flags() []cli.Flag {
+	text := func(name, usage, value string) cli.Flag {
+		return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(variable(name))}
+	}
+	span := func(name, usage string, value time.Duration) cli.Flag {
+		return &cli.DurationFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(variable(name))}
+	}
+	return []cli.Flag{
+		text("name", "this VM's name; its certificate must carry the same", ""),
+		text("failure-domain", "the failure domain that this VM is in", ""),
+		text("listen", "IP:port for callers", "0.0.0.0:8080"),
+		text("operator-listen", "IP:port for operators, health and metrics", "127.0.0.1:8081"),
+		text("peer-listen", "IP:port (UDP) for other VMs", "0.0.0.0:8082"),
+		text("peer-address", "IP:port (UDP) at which other VMs reach this one", ""),
+		text("platform", "IP:port of the platform's table service, object store and list of VMs", ""),
+		text("authority", "the fleet's certificate authority: PEM, or a file that holds it", ""),
+		text("certificate", "this VM's certificate: PEM, or a file that holds it", ""),
+		text("key", "this VM's private key: PEM, or a file that holds it", ""),
+		text("bootstrap-hash", "SHA-256 (hex) of the secret that may create the first operator's key", ""),
+		span("flush-every", "time between writes of charges to the table", 2*time.Second),
+		span("grant-horizon", "spending that a grant should last for while the table is out", time.Minute),
+		span("list-lag", "longest lag of the platform's list of VMs", 10*time.Second),
+		&cli.IntFlag{Name: "verbosity", Usage: "0 for events, 1 and 2 for more", Sources: cli.EnvVars(variable("verbosity"))},
+	}
+}
+
+// variable returns the environment variable of a flag.
+func variable(flag string) string {
+	return "HAWTHORNSPAR_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Read takes the settings from the command and checks them. A wrong setting
+// gives an *Error that names all of them.
+func Read(c *cli.Command) (Settings, error) {
+	s := Settings{
+		Name: c.String("name"), Domain: c.String("failure-domain"),
+		Listen: c.String("listen"), Operator: c.String("operator-listen"),
+		PeerListen: c.String("peer-listen"), PeerAddress: c.String("peer-address"),
+		Platform:  c.String("platform"),
+		Authority: content(c.String("authority")), Certificate: content(c.String("certificate")), Key: content(c.String("key")),
+		BootstrapHash: c.String("bootstrap-hash"),
+		FlushEvery:    c.Duration("flush-every"), GrantHorizon: c.Duration("grant-horizon"), ListLag: c.Duration("list-lag"),
+		Verbosity: c.Int("verbosity"),
+	}
+	return s, Check(s)
+}
+
+// content returns inline PEM as it is, and else what the named file holds.
+func content(value string) string {
+	if value == "" || strings.HasPrefix(value, "-----BEGIN") {
+		return value
+	}
+	raw, err := os.ReadFile(value)
+	if err != nil {
+		return "unreadable: " + value
+	}
+	return string(raw)
+}
+
+// Check returns an *Error that names every wrong setting, or nil.
+func Check(s Settings) error {
+	v := validator.New()
+	v.RegisterValidation("ipport", isIPPort)
+	v.RegisterValidation("pem", isPEM)
+	var problems []string
+	if err := v.Struct(s); err != nil {
+		for _, f := range err.(validator.ValidationErrors) {
+			problems = append(problems, describe(f))
+		}
+	}
+	if len(problems) == 0 {
+		problems = checkKeys(s)
+	}
+	if len(problems) > 0 {
+		return &Error{Problems: problems}
+	}
+	return nil
+}
+
+func checkKeys(s Settings) []string {
+	own := certificate.Pair{Certificate: []byte(s.Certificate), Key: []byte(s.Key)}
+	if _, err := certificate.Mutual([]byte(s.Authority), own); err != nil {
+		return []string{"authority, certificate, key: " + err.Error()}
+	}
+	name, err := certificate.CommonName(own.Certificate)
+	if err != nil || name != s.Name {
+		return []string{"certificate: it is for VM " + name + ", not for " + s.Name}
+	}
+	return nil
+}
+
+func isIPPort(f validator.FieldLevel) bool {
+	address, err := netip.ParseAddrPort(f.Field().String())
+	return err == nil && address.Port() != 0
+}
+
+func isPEM(f validator.FieldLevel) bool {
+	return strings.HasPrefix(strings.TrimSpace(f.Field().String()), "-----BEGIN")
+}
--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,329 @@
+package scenarios
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// limit bounds every wait for an event; nothing is expected to take so long.
+const limit = 40 * time.Second
+
+func hashOf(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// commands is the test language. Every wait is for an event, never for a time.
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"fleet":    command(cmdFleet),    // fleet routers=N engines=N runners=N [engine:FLAG=V] [env:NAME=V]
+	"account":  command(cmdAccount),  // account NAME RANK TOKENS
+	"send":     command(cmdSend),     // send NAME ROUTER ACCOUNT order|chat|stream [key=K] [ref=R] [answer=N] [limit=N] [extra=T]
+	"await":    command(cmdAwait),    // await NAME...: the request has ended
+	"tokens":   command(cmdTokens),   // tokens NAME: the caller has part of the answer
+	"expect":   command(cmdExpect),   // expect NAME FIELD=VALUE...
+	"runs":     command(cmdRuns),     // runs REF N: endpoints ran it so often
+	"judge":    command(cmdJudge),    // judge exact|budgets|truthful
+	"left":     command(cmdLeft),     // left BUDGET N: the table has so many tokens undrawn
+	"kill":     command(cmdKill),     // kill PROCESS
+	"start":    command(cmdStart),    // start PROCESS
+	"freeze":   command(cmdFreeze),   // freeze PROCESS
+	"thaw":     command(cmdThaw),     // thaw PROCESS
+	"stop":     command(cmdStop),     // stop PROCESS: gracefully, and wait for its end
+	"ask-stop": command(cmdAskStop),  // ask-stop PROCESS: gracefully, without waiting
+	"ended":    command(cmdEnded),    // ended PROCESS: it has ended by itself with code 0
+	"cut":      command(cmdCut),      // cut ROUTER peers|platform, cut ENDPOINT
+	"heal":     command(cmdHeal),     // heal ROUTER peers|platform, heal ENDPOINT
+	"fault":    command(cmdFault),    // fault NAME VALUE
+	"runner":   command(cmdRunner),   // runner NAME JSON: change its behaviour
+	"listed":   command(cmdListed),   // listed ROUTER...: the platform's list
+	"operate":  command(cmdOperate),  // operate ARGS...: the operators' client
+	"settled":  command(cmdSettled),  // settled: the configuration is the same on all routers
+	"row":      command(cmdRow),      // row PREFIX N: so many rows
+	"counter":  command(cmdCounter),  // counter ROUTER TEXT: a line of /metrics contains it
+	"retrying": command(cmdRetrying), // retrying NAME ROUTER...: send again until answered
+}
+
+// command runs f until it succeeds or the time is up when it is a question,
+// and reports its failure with the ends of the logs.
+func command(f func(*fleet, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		fl := ts.Value(fleetKey{}).(*fleet)
+		err := f(fl, args)
+		if (err != nil) == neg {
+			return
+		}
+		for _, p := range fl.processes {
+			if p.cmd != nil {
+				ts.Logf("--- %s\n%s", p.name, logTail(p))
+			}
+		}
+		ts.Fatalf("%v", err)
+	}
+}
+
+// options splits NAME=VALUE arguments from the rest.
+func options(args []string) ([]string, map[string]string) {
+	var rest []string
+	named := map[string]string{}
+	for _, a := range args {
+		if name, value, ok := strings.Cut(a, "="); ok {
+			named[name] = value
+			continue
+		}
+		rest = append(rest, a)
+	}
+	return rest, named
+}
+
+func number(text string, otherwise int) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+func cmdFleet(f *fleet, args []string) error {
+	_, named := options(args)
+	var engineArgs, env []string
+	for name, value := range named {
+		if flag, ok := strings.CutPrefix(name, "engine:"); ok {
+			engineArgs = append(engineArgs, "--"+flag, value)
+		}
+		if variable, ok := strings.CutPrefix(name, "env:"); ok {
+			env = append(env, variable+"="+value)
+		}
+	}
+	return f.up(number(named["routers"], 1), number(named["engines"], 0), number(named["runners"], 0), engineArgs, env)
+}
+
+func cmdAccount(f *fleet, args []string) error { return f.account(args[0], args[1], args[2]) }
+
+func cmdSend(f *fleet, args []string) error {
+	rest, named := options(args)
+	r := f.router(rest[1])
+	s := &send{
+		name: rest[0], account: rest[2], key: named["key"], ref: named["ref"],
+		order: rest[3] == "order", stream: rest[3] == "stream",
+		done: make(chan struct{}), tokens: make(chan struct{}, 1),
+	}
+	if s.ref == "" {
+		s.ref = s.name
+	}
+	if s.order {
+		s.url = "http://" + r.caller + "/v1/services/orders/orders"
+		s.body = `{"ref":` + strconv.Quote(s.ref) + `,"item":"strainer"}`
+	} else {
+		s.url = "http://" + r.caller + "/v1/chat/completions"
+		answer := number(named["answer"], 20)
+		s.body = chatBody(s.ref, answer, number(named["limit"], answer), named["extra"], s.stream)
+	}
+	f.sends[s.name] = s
+	go s.run(f.keys[s.account])
+	return nil
+}
+
+func cmdAwait(f *fleet, args []string) error {
+	for _, name := range args {
+		select {
+		case <-f.sends[name].done:
+		case <-time.After(limit):
+			return errors.Errorf("%s has not ended: %s", name, f.sends[name].seen())
+		}
+	}
+	return nil
+}
+
+func cmdTokens(f *fleet, args []string) error {
+	select {
+	case <-f.sends[args[0]].tokens:
+		return nil
+	case <-f.sends[args[0]].done:
+		return errors.Errorf("%s ended: %s", args[0], f.sends[args[0]].seen())
+	case <-time.After(limit):
+		return errors.Errorf("%s got nothing", args[0])
+	}
+}
+
+func cmdExpect(f *fleet, args []string) error {
+	seen := f.sends[args[0]].seen()
+	for _, want := range args[1:] {
+		if !strings.Contains(" "+seen, " "+want) {
+			return errors.Errorf("%s: want %s, got %s", args[0], want, seen)
+		}
+	}
+	return nil
+}
+
+func cmdRuns(f *fleet, args []string) error {
+	return until(limit/4, func() error {
+		n, err := f.runsOf(args[0])
+		if err == nil && n != number(args[1], -1) {
+			return errors.Errorf("%s ran %d times, not %s", args[0], n, args[1])
+		}
+		return err
+	})
+}
+
+func cmdJudge(f *fleet, args []string) error {
+	judges := map[string]func() error{"exact": f.exact, "budgets": f.withinBudgets, "truthful": f.truthful}
+	for _, a := range args {
+		if err := until(limit/2, judges[a]); err != nil {
+			return errors.Wrap(err, a)
+		}
+	}
+	return nil
+}
+
+func cmdLeft(f *fleet, args []string) error {
+	return until(limit, func() error {
+		row, _, err := f.budget(args[0])
+		if err != nil {
+			return err
+		}
+		if left := row.Prepaid - row.Drawn + row.Returned; left != int64(number(args[1], -1)) {
+			return errors.Errorf("%s: %d left, not %s: %v", args[0], left, args[1], row)
+		}
+		return nil
+	})
+}
+
+func cmdKill(f *fleet, args []string) error {
+	f.processNamed(args[0]).kill()
+	return nil
+}
+
+func cmdStart(f *fleet, args []string) error {
+	if err := f.processNamed(args[0]).start(); err != nil {
+		return err
+	}
+	if r := f.router(args[0]); r != nil {
+		return f.ready(r)
+	}
+	return nil
+}
+
+func cmdFreeze(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGSTOP)
+	return nil
+}
+
+func cmdThaw(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGCONT)
+	return nil
+}
+
+func cmdStop(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGTERM)
+	return cmdEnded(f, args)
+}
+
+func cmdAskStop(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGTERM)
+	return nil
+}
+
+func cmdEnded(f *fleet, args []string) error { return f.processNamed(args[0]).wait(limit) }
+
+func cmdCut(f *fleet, args []string) error { return f.setCut(args, true) }
+
+func cmdHeal(f *fleet, args []string) error { return f.setCut(args, false) }
+
+func (f *fleet) setCut(args []string, cut bool) error {
+	if p := f.place(args[0]); p != nil {
+		p.link.Set(cut)
+		return nil
+	}
+	if args[1] == "platform" {
+		f.router(args[0]).platformLink.Set(cut)
+		return nil
+	}
+	f.cutPeers(args[0], cut)
+	return nil
+}
+
+func cmdFault(f *fleet, args []string) error {
+	switch args[1] {
+	case "true", "false":
+		return f.setFault(args[0], args[1] == "true")
+	}
+	if n, err := strconv.Atoi(args[1]); err == nil {
+		return f.setFault(args[0], n)
+	}
+	return f.setFault(args[0], args[1])
+}
+
+func cmdRunner(f *fleet, args []string) error {
+	_, err := post("http://"+f.place(args[0]).process.args[2]+"/admin/behaviour", args[1])
+	return err
+}
+
+func cmdListed(f *fleet, args []string) error {
+	var routers []*router
+	for _, name := range args {
+		routers = append(routers, f.router(name))
+	}
+	return f.listVMs(routers)
+}
+
+func cmdOperate(f *fleet, args []string) error {
+	out, err := f.cli(args...)
+	if err == nil && os.Getenv("SHOW") != "" {
+		os.Stdout.WriteString(out)
+	}
+	return err
+}
+
+func cmdSettled(f *fleet, _ []string) error { return f.settled() }
+
+func cmdRow(f *fleet, args []string) error {
+	return until(limit, func() error {
+		rows, err := f.rows(args[0])
+		if err == nil && len(rows) != number(args[1], -1) {
+			return errors.Errorf("%s: %d rows, not %s", args[0], len(rows), args[1])
+		}
+		return err
+	})
+}
+
+func cmdCounter(f *fleet, args []string) error {
+	return until(limit, func() error {
+		out, err := get("http://" + f.router(args[0]).operator + "/metrics")
+		if err == nil && !strings.Contains(out, args[1]) {
+			return errors.Errorf("%s has no %s:\n%s", args[0], args[1], out)
+		}
+		return err
+	})
+}
+
+// cmdRetrying repeats a request at the routers in turn, as a caller would,
+// until it is answered or told that the outcome is unknown.
+func cmdRetrying(f *fleet, args []string) error {
+	first := f.sends[args[0]]
+	for i := range 10 * len(args[1:]) {
+		name := args[0] + "." + itoa(i+1)
+		s := &send{
+			name: name, account: first.account, key: first.key, ref: first.ref, order: first.order,
+			stream: first.stream, body: first.body, done: make(chan struct{}), tokens: make(chan struct{}, 1),
+		}
+		r := f.router(args[1+i%len(args[1:])])
+		_, path, _ := strings.Cut(first.url[len("http://"):], "/")
+		s.url = "http://" + r.caller + "/" + path
+		f.sends[name] = s
+		s.run(f.keys[s.account])
+		if s.whole || s.code == "outcomeUnknown" {
+			f.sends[args[0]+".last"] = s
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.Errorf("%s was never answered", args[0])
+}
