--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -32,12 +32,12 @@
 	"runs":     command(cmdRuns),     // runs REF N: endpoints ran it so often
 	"judge":    command(cmdJudge),    // judge exact|budgets|truthful
 	"left":     command(cmdLeft),     // left BUDGET N: the table has so many tokens undrawn
-	"kill":     command(cmdKill),     // kill PROCESS
+	"crash":    command(cmdCrash),    // crash PROCESS: end it at once
 	"start":    command(cmdStart),    // start PROCESS
 	"freeze":   command(cmdFreeze),   // freeze PROCESS
 	"thaw":     command(cmdThaw),     // thaw PROCESS
-	"stop":     command(cmdStop),     // stop PROCESS: gracefully, and wait for its end
-	"ask-stop": command(cmdAskStop),  // ask-stop PROCESS: gracefully, without waiting
+	"shutdown": command(cmdShutdown), // shutdown PROCESS: gracefully, and wait for its end
+	"leave":    command(cmdLeave),    // leave PROCESS: shut down gracefully, without waiting
 	"ended":    command(cmdEnded),    // ended PROCESS: it has ended by itself with code 0
 	"cut":      command(cmdCut),      // cut ROUTER peers|platform, cut ENDPOINT
 	"heal":     command(cmdHeal),     // heal ROUTER peers|platform, heal ENDPOINT
@@ -196,7 +196,7 @@
 	})
 }
 
-func cmdKill(f *fleet, args []string) error {
+func cmdCrash(f *fleet, args []string) error {
 	f.processNamed(args[0]).kill()
 	return nil
 }
@@ -221,12 +221,12 @@
 	return nil
 }
 
-func cmdStop(f *fleet, args []string) error {
+func cmdShutdown(f *fleet, args []string) error {
 	f.processNamed(args[0]).signal(syscall.SIGTERM)
 	return cmdEnded(f, args)
 }
 
-func cmdAskStop(f *fleet, args []string) error {
+func cmdLeave(f *fleet, args []string) error {
 	f.processNamed(args[0]).signal(syscall.SIGTERM)
 	return nil
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -30,7 +30,11 @@
 var _ = ginkgo.AfterSuite(func() { os.RemoveAll(programs) })
 
 var _ = ginkgo.Describe("scenario", func() {
-	files, err := filepath.Glob("*.txtar")
+	pattern := "*.txtar"
+	if only := os.Getenv("SCENARIO"); only != "" {
+		pattern = only + ".txtar"
+	}
+	files, err := filepath.Glob(pattern)
 	if err != nil {
 		panic(err)
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -15,9 +15,10 @@
 // Faults are switched while the stand-in runs.
 type Faults struct {
 	LatencyMillis int64  `json:"latencyMillis"`
-	Outage        bool   `json:"outage"`      // no call has an effect or an answer
-	LoseAnswers   int    `json:"loseAnswers"` // so many of the next transactions take effect unanswered
-	LosePrefix    string `json:"losePrefix"`  // only those that write such a key
+	Outage        bool   `json:"outage"`       // no call has an effect or an answer
+	LoseAnswers   int    `json:"loseAnswers"`  // so many of the next transactions take effect unanswered
+	LosePrefix    string `json:"losePrefix"`   // only those that write such a key
+	AnswerMillis  int64  `json:"answerMillis"` // delay between effect and answer of a transaction
 	ListLagMillis int64  `json:"listLagMillis"`
 }
 
@@ -66,11 +67,7 @@
 // blocked delays the call, and hangs up without an answer during an outage.
 func (s *Server) blocked(w http.ResponseWriter) bool {
 	f := s.current()
-	if f.LatencyMillis > 0 {
-		t := s.clock.Subscribe(time.Duration(f.LatencyMillis) * time.Millisecond)
-		<-t.C
-		t.Stop()
-	}
+	s.delay(f.LatencyMillis)
 	if f.Outage {
 		hangUp(w)
 		return true
@@ -78,6 +75,15 @@
 	return false
 }
 
+func (s *Server) delay(millis int64) {
+	if millis <= 0 {
+		return
+	}
+	t := s.clock.Subscribe(time.Duration(millis) * time.Millisecond)
+	defer t.Stop()
+	<-t.C
+}
+
 func hangUp(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
@@ -91,6 +97,7 @@
 		return
 	}
 	version, differ := s.table.Transact(tx)
+	s.delay(s.current().AnswerMillis)
 	if s.loses(tx) {
 		hangUp(w)
 		return
