Budgets, billing and answers under failure, as scenarios

Cause of two failures found: (1) one lost table answer counted as an outage, and requests were refused at once; now they wait while peers are asked in rounds and the table is probed. (2) a recall during an outage had the holder tie up its tokens in a return that could not commit; peers now only say what they have free. Also: one key with two bodies was billed once; the charge's key now includes the body's fingerprint.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -22,11 +22,12 @@
 
 // System funds requests.
 type System struct {
-	sizer  Sizer
-	active entity.Table[string, *entity.Grant] // grants with waiting requests
-	reads  entity.Table[int64, string]         // budget by read
-	scanAt time.Time
-	recall bool
+	sizer   Sizer
+	active  entity.Table[string, *entity.Grant] // grants with waiting requests
+	reads   entity.Table[int64, string]         // budget by read
+	scanAt  time.Time
+	probeAt time.Time
+	recall  bool
 }
 
 // Option changes a System.
@@ -102,6 +103,7 @@
 	}
 	if !w.TableUp {
 		s.seekPeers(w, g)
+		s.probe(w, g)
 	} else if g.ReadAt.IsZero() {
 		s.read(w, g)
 	} else {
@@ -181,6 +183,16 @@
 	w.Emit(outbox.Read{ID: id, Keys: []string{entity.BudgetKey(g.Budget)}})
 }
 
+// probe reads the row now and then while the table is out, so that its return
+// is noticed.
+func (s *System) probe(w *world.World, g *entity.Grant) {
+	if w.Now.Before(s.probeAt) {
+		return
+	}
+	s.probeAt = w.Now.Add(w.Policy.RecallEvery)
+	s.read(w, g)
+}
+
 func (s *System) readDone(w *world.World, e inbox.ReadDone) {
 	budget, ok := s.reads.Get(e.ID)
 	if !ok {
--- a/core/budget/forward.go
+++ b/core/budget/forward.go
@@ -14,15 +14,15 @@
 		return
 	}
 	c := &g.Recall
-	if c.Rounds == 0 && !c.Active {
-		s.openRound(w, g, s.heard(w))
-		return
-	}
 	if c.Active {
 		s.closeRound(w, g)
+		if !c.Active {
+			s.passOn(w, g)
+		}
+		return
 	}
-	if !c.Active {
-		s.passOn(w, g)
+	if c.Rounds == 0 || w.Now.Sub(c.Ended) >= w.Policy.RecallEvery {
+		s.openRound(w, g, s.heard(w))
 	}
 }
 
@@ -36,8 +36,8 @@
 	return vms
 }
 
-// passOn forwards each waiting request to the peer with the largest offer,
-// and refuses those that no offer covers.
+// passOn forwards each waiting request to the peer with the largest offer.
+// Those that no offer covers wait for the next round, or for the table.
 func (s *System) passOn(w *world.World, g *entity.Grant) {
 	for _, r := range g.Waiting {
 		if r.Phase != entity.PhaseFunding {
@@ -45,7 +45,6 @@
 		}
 		offer := largest(g.Recall.Offers)
 		if r.Forwarded || offer == nil || offer.Free < r.Cost {
-			s.refuse(w, r, entity.ReasonBudgetUnreachable)
 			continue
 		}
 		offer.Free -= r.Cost
@@ -53,7 +52,7 @@
 		w.Emit(outbox.Forward{Request: r.ID, To: offer.From})
 		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "forwardedForBudget"})
 	}
-	g.Recall = entity.Recall{}
+	g.Recall.Offers = nil
 }
 
 func largest(offers []entity.Offer) *entity.Offer {
--- a/core/budget/recall.go
+++ b/core/budget/recall.go
@@ -77,7 +77,7 @@
 	g.Recall = entity.Recall{Active: true, Started: w.Now, Rounds: g.Recall.Rounds, Missing: missing}
 	for _, vm := range to {
 		g.Recall.Pending = append(g.Recall.Pending, vm.Name)
-		w.Send(vm, entity.RecallRequest{Budget: g.Budget, Need: smallest(g.Waiting) - g.Free()})
+		w.Send(vm, entity.RecallRequest{Budget: g.Budget, Need: smallest(g.Waiting) - g.Free(), OfferOnly: !w.TableUp})
 	}
 	w.Emit(outbox.Count{Counter: world.CounterRecalls, Reason: "round"})
 	s.closeRound(w, g)
@@ -115,7 +115,7 @@
 		return
 	}
 	free := max(g.Free(), 0)
-	if !w.TableUp || free == 0 || len(g.Waiting) > 0 {
+	if m.OfferOnly || !w.TableUp || free == 0 || len(g.Waiting) > 0 {
 		w.Send(from, entity.RecallReply{Budget: m.Budget, Free: free, Reserved: g.Reserved})
 		return
 	}
--- a/core/entity/message.go
+++ b/core/entity/message.go
@@ -22,10 +22,12 @@
 // Flushed says that all charges up to Sequence are in the ledger.
 type Flushed struct{ Sequence int64 }
 
-// RecallRequest asks for idle tokens of a budget.
+// RecallRequest asks for idle tokens of a budget: to return them to the table,
+// or, with OfferOnly, just to say what is free.
 type RecallRequest struct {
-	Budget string
-	Need   int64
+	Budget    string
+	Need      int64
+	OfferOnly bool
 }
 
 // RecallReply tells what the sender returned to the table, what it still has
--- a/core/settle/settle.go
+++ b/core/settle/settle.go
@@ -61,7 +61,7 @@
 func Owe(r *entity.Request, tokens int64) {
 	r.Charge = entity.Charge{
 		Budget:     r.Budget,
-		RequestKey: r.Account + "/" + r.RequestKey,
+		RequestKey: r.Account + "/" + r.RequestKey + "/" + r.Fingerprint,
 		Tokens:     min(max(tokens, 0), r.Reserve),
 		Rank:       r.Rank,
 		Service:    r.Service,
--- a/io/protobuf/message.go
+++ b/io/protobuf/message.go
@@ -18,7 +18,7 @@
 	case entity.Flushed:
 		m.Body = &wire.PeerMessage_Flushed{Flushed: &wire.Flushed{Sequence: b.Sequence}}
 	case entity.RecallRequest:
-		m.Body = &wire.PeerMessage_RecallRequest{RecallRequest: &wire.RecallRequest{Budget: b.Budget, Need: b.Need}}
+		m.Body = &wire.PeerMessage_RecallRequest{RecallRequest: &wire.RecallRequest{Budget: b.Budget, Need: b.Need, OfferOnly: b.OfferOnly}}
 	case entity.RecallReply:
 		m.Body = &wire.PeerMessage_RecallReply{RecallReply: &wire.RecallReply{
 			Budget: b.Budget, Returned: b.Returned, Free: b.Free, Reserved: b.Reserved,
@@ -54,7 +54,8 @@
 	case *wire.PeerMessage_Flushed:
 		return entity.Flushed{Sequence: b.Flushed.Sequence}
 	case *wire.PeerMessage_RecallRequest:
-		return entity.RecallRequest{Budget: b.RecallRequest.Budget, Need: b.RecallRequest.Need}
+		r := b.RecallRequest
+		return entity.RecallRequest{Budget: r.Budget, Need: r.Need, OfferOnly: r.OfferOnly}
 	case *wire.PeerMessage_RecallReply:
 		r := b.RecallReply
 		return entity.RecallReply{Budget: r.Budget, Returned: r.Returned, Free: r.Free, Reserved: r.Reserved}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
@@ -26,6 +27,10 @@
 	"fleet":    command(cmdFleet),    // fleet routers=N engines=N runners=N [engine:FLAG=V] [env:NAME=V]
 	"account":  command(cmdAccount),  // account NAME RANK TOKENS
 	"send":     command(cmdSend),     // send NAME ROUTER ACCOUNT order|chat|stream [key=K] [ref=R] [answer=N] [limit=N] [extra=T]
+	"flood":    command(cmdFlood),    // flood PREFIX N ACCOUNT order|chat|stream ROUTER... [answer=N]: PREFIX1 to PREFIXN
+	"hangup":   command(cmdHangUp),   // hangup NAME: the caller goes away
+	"fenced":   command(cmdFenced),   // fenced ROUTER: it has ended by itself with code 3
+	"answered": command(cmdAnswered), // answered PREFIX MIN MAX: so many of a flood were answered whole
 	"await":    command(cmdAwait),    // await NAME...: the request has ended
 	"tokens":   command(cmdTokens),   // tokens NAME: the caller has part of the answer
 	"expect":   command(cmdExpect),   // expect NAME FIELD=VALUE...
@@ -131,6 +136,69 @@
 	return nil
 }
 
+func cmdFlood(f *fleet, args []string) error {
+	rest, _ := options(args)
+	routers := rest[4:]
+	for i := range number(rest[1], 0) {
+		one := []string{rest[0] + itoa(i+1), routers[i%len(routers)], rest[2], rest[3]}
+		for _, a := range args {
+			if strings.Contains(a, "=") {
+				one = append(one, a)
+			}
+		}
+		if err := cmdSend(f, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// flooded returns the sends of a flood.
+func (f *fleet) flooded(prefix string) []*send {
+	var all []*send
+	for i := 1; f.sends[prefix+itoa(i)] != nil; i++ {
+		all = append(all, f.sends[prefix+itoa(i)])
+	}
+	return all
+}
+
+func cmdAnswered(f *fleet, args []string) error {
+	whole := 0
+	codes := map[string]int{}
+	for _, s := range f.flooded(args[0]) {
+		if err := cmdAwait(f, []string{s.name}); err != nil {
+			return err
+		}
+		if s.whole {
+			whole++
+		} else {
+			codes[s.code+s.failure]++
+		}
+	}
+	if whole < number(args[1], 0) || whole > number(args[2], 0) {
+		return errors.Errorf("%d of %s answered, not %s to %s; others: %v", whole, args[0], args[1], args[2], codes)
+	}
+	return nil
+}
+
+func cmdHangUp(f *fleet, args []string) error {
+	s := f.sends[args[0]]
+	s.mu.Lock()
+	hangUp := s.hangUp
+	s.mu.Unlock()
+	hangUp()
+	return cmdAwait(f, args)
+}
+
+func cmdFenced(f *fleet, args []string) error {
+	err := f.processNamed(args[0]).wait(limit)
+	var ended *exec.ExitError
+	if !errors.As(err, &ended) || ended.ExitCode() != 3 {
+		return errors.Errorf("%s is not fenced: %v", args[0], err)
+	}
+	return nil
+}
+
 func cmdAwait(f *fleet, args []string) error {
 	for _, name := range args {
 		select {
--- a/scenarios/judge_test.go
+++ b/scenarios/judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -107,6 +108,12 @@
 	return nil
 }
 
+// answered is what callers were told of one request key.
+type answered struct {
+	amounts map[string]int64 // billed by body; a key with two bodies is two requests
+	partial bool             // some caller got a part, or does not know
+}
+
 // exact checks both ways that each request answered whole is billed once and
 // rightly, and that nothing else is billed.
 func (f *fleet) exact() error {
@@ -114,37 +121,67 @@
 	if err != nil {
 		return err
 	}
-	owed := map[string]int64{}
-	partial := map[string]bool{}
 	for _, s := range f.sends {
-		s.mu.Lock()
-		id := s.account + "/main " + s.account + "/" + s.key
-		if s.whole {
-			owed[id] = s.billed
-		} else if s.text != "" || s.failure != "" {
-			partial[id] = true
+		if s.spliced {
+			return errors.Errorf("%s got an answer that is not one run's: %s", s.name, s.seen())
 		}
-		s.mu.Unlock()
 	}
+	told := f.told()
+	ledger := map[string][]int64{}
 	for _, c := range charges {
-		id := c.budget + " " + c.key
-		want, answered := owed[id]
-		switch {
-		case answered && want != 0 && want != c.tokens:
-			return errors.Errorf("%s: billed %d, caller was told %d", id, c.tokens, want)
-		case !answered && !partial[id]:
-			return errors.Errorf("%s: billed %d, but no caller was answered", id, c.tokens)
+		id := c.budget + " " + c.key[:strings.LastIndex(c.key, "/")]
+		ledger[id] = append(ledger[id], c.tokens)
+	}
+	for id, amounts := range ledger {
+		t := told[id]
+		if t == nil || len(t.amounts) == 0 && !t.partial {
+			return errors.Errorf("%s: billed %v, but no caller was answered", id, amounts)
+		}
+		if len(t.amounts) > 0 && !sameAmounts(amounts, t.amounts) {
+			return errors.Errorf("%s: billed %v, callers were told %v", id, amounts, t.amounts)
 		}
-		delete(owed, id)
 	}
-	for id, want := range owed {
-		if want != 0 {
+	for id, t := range told {
+		if len(t.amounts) > 0 && len(ledger[id]) == 0 {
 			return errors.Errorf("%s: answered, but not billed", id)
 		}
 	}
 	return nil
 }
 
+func (f *fleet) told() map[string]*answered {
+	told := map[string]*answered{}
+	for _, s := range f.sends {
+		s.mu.Lock()
+		id := s.account + "/main " + s.account + "/" + s.key
+		if told[id] == nil {
+			told[id] = &answered{amounts: map[string]int64{}}
+		}
+		t := told[id]
+		switch {
+		case s.whole && s.billed > 0:
+			t.amounts[s.identity()] = s.billed
+		case s.whole && s.order:
+			t.partial = true // a replayed answer does not tell what was billed
+		case s.text != "" || s.failure != "" || s.code == "outcomeUnknown":
+			t.partial = true
+		}
+		s.mu.Unlock()
+	}
+	return told
+}
+
+// identity is the request's content, which does not depend on how the answer
+// is delivered.
+func (s *send) identity() string {
+	return strings.NewReplacer(`"stream":true`, "", `"stream":false`, "").Replace(s.body)
+}
+
+func sameAmounts(ledger []int64, told map[string]int64) bool {
+	want := slices.Sorted(maps.Values(told))
+	return slices.Equal(slices.Sorted(slices.Values(ledger)), want)
+}
+
 // counts is what engines and runners say they ran.
 type counts struct {
 	Runs   map[string]int `json:"runs"`
--- a/scenarios/send_test.go
+++ b/scenarios/send_test.go
@@ -31,6 +31,7 @@
 	usage              int64
 	billed             int64
 	failure            string // transport failure
+	spliced            bool   // it ended like a whole answer, but is not one run's
 	done               chan struct{}
 	hangUp             func()
 	tokens             chan struct{}
@@ -127,6 +128,7 @@
 	}
 	s.usage = a.Usage.Total
 	s.whole = s.status == http.StatusOK && checksumHolds(s.text)
+	s.spliced = s.status == http.StatusOK && !s.whole
 }
 
 func (s *send) readStream(body io.Reader) {
@@ -173,6 +175,7 @@
 		s.failure = err.Error()
 	}
 	s.whole = finished && checksumHolds(s.text)
+	s.spliced = finished && !s.whole
 }
 
 // checksumHolds checks an answer against the checksum in its last token, and
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -8,6 +8,9 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Link forwards what arrives at its own address to a target.
@@ -172,9 +175,10 @@
 	for {
 		n, err := a.flow.Read(buffer)
 		if err != nil {
-			if a.link.closed(a.flow) {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			time.Sleep(refusedPause)
 			continue
 		}
 		if !a.link.drops(a.to) {
@@ -184,10 +188,8 @@
 	}
 }
 
-func (l *Link) closed(flow *net.UDPConn) bool {
-	_, err := flow.Write(nil)
-	return err == net.ErrClosed
-}
+// refusedPause is the wait after the target refused a datagram.
+const refusedPause = 10 * time.Millisecond
 
 // Set cuts or heals the link. Cutting closes every TCP connection.
 func (l *Link) Set(cut bool) {
