Requests that crash endpoints: suspects, trials and quarantine

Cause of a failure that the property tests found meanwhile: a request that was sent to an endpoint and then passed to a peer was refused by the peer as not run. The passing VM now says that an endpoint may have run it. Before: fails after 226 random runs. After: 600 runs pass.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -28,9 +28,12 @@
 
 func (s *System) submit(w *world.World, sub entity.Submission) {
 	r := &entity.Request{Submission: sub, Arrived: w.Now}
+	if sub.MayHaveRun {
+		r.Expose()
+	}
 	reason := s.resolve(w, r)
 	if reason != "" {
-		w.Emit(outbox.Refuse{Request: sub.ID, Refusal: entity.Reject(reason)})
+		w.Emit(outbox.Refuse{Request: sub.ID, Refusal: r.Refuse(reason, 0)})
 		w.CountRefusal(r.Account, r.Rank, reason)
 		return
 	}
@@ -48,7 +51,7 @@
 func (s *System) join(w *world.World, r *entity.Request, running int64) {
 	first, ok := w.Requests.Get(running)
 	if !ok || first.Fingerprint != r.Fingerprint {
-		w.Emit(outbox.Refuse{Request: r.ID, Refusal: entity.Reject(entity.ReasonKeyReused)})
+		w.Emit(outbox.Refuse{Request: r.ID, Refusal: r.Refuse(entity.ReasonKeyReused, 0)})
 		w.CountRefusal(r.Account, r.Rank, entity.ReasonKeyReused)
 		return
 	}
--- a/core/budget/forward.go
+++ b/core/budget/forward.go
@@ -49,7 +49,7 @@
 		}
 		offer.Free -= r.Cost
 		r.Phase = entity.PhaseForwarded
-		w.Emit(outbox.Forward{Request: r.ID, To: offer.From})
+		w.Emit(outbox.Forward{Request: r.ID, To: offer.From, MayHaveRun: r.Exposed()})
 		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "forwardedForBudget"})
 	}
 	g.Recall.Offers = nil
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -163,6 +163,10 @@
 
 func (s *System) again(w *world.World, c *change) {
 	c.tries++
+	if c.tries >= maxTries && c.ID == 0 {
+		s.waiting = append(s.waiting, c)
+		return
+	}
 	if c.tries >= maxTries {
 		w.Emit(outbox.ChangeDone{ID: c.ID, Failure: FailureUnreachable})
 		return
@@ -171,5 +175,21 @@
 }
 
 func (s *System) finish(w *world.World, c *change, version int64) {
+	if c.ID == 0 {
+		return
+	}
 	w.Emit(outbox.ChangeDone{ID: c.ID, Version: version})
 }
+
+// Quarantine puts a quarantine into the configuration on this VM's own
+// account. It is repeated by itself until the table takes it.
+func (s *System) Quarantine(w *world.World, fingerprint string) {
+	s.read(w, &change{
+		ChangeAsked: inbox.ChangeAsked{
+			Operation: "quarantine-" + fingerprint + "-" + w.Self.Incarnation + "-" + entity.Decimal(w.Config.Version),
+			Expected:  -1,
+			Item:      entity.Quarantine{Fingerprint: fingerprint},
+		},
+		by: w.Self.Name,
+	})
+}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -24,6 +24,7 @@
 	known      int64 // newest version heard of
 	log        []entity.Change
 	asked      entity.Table[int64, *change] // operators' changes by table call
+	waiting    []*change                    // of this VM itself, until the table is back
 	synced     bool                         // the table's head was reached once
 }
 
@@ -53,10 +54,21 @@
 		s.headRead = w.NextID()
 		s.pollAt = w.Now.Add(w.Policy.ConfigEvery)
 		w.Emit(outbox.Read{ID: s.headRead, Keys: []string{entity.HeadKey}})
+		s.resume(w)
 	}
 	s.fetch(w)
 }
 
+// resume takes up this VM's own changes that the table did not take.
+func (s *System) resume(w *world.World) {
+	waiting := s.waiting
+	s.waiting = nil
+	for _, c := range waiting {
+		c.tries = 0
+		s.read(w, c)
+	}
+}
+
 // fetch reads the changes between the version in force and the newest known.
 func (s *System) fetch(w *world.World) {
 	if s.changeRead != 0 || s.known <= w.Config.Version || !w.TableUp {
--- a/core/core.go
+++ b/core/core.go
@@ -22,6 +22,7 @@
 	"hawthornspar/core/recovery"
 	"hawthornspar/core/retry"
 	"hawthornspar/core/settle"
+	"hawthornspar/core/suspect"
 	"hawthornspar/core/world"
 )
 
@@ -75,6 +76,7 @@
 	r.flush = ledger.NewFlush(r.copies)
 	claims := claim.New()
 	changes := config.New()
+	suspects := suspect.New(changes)
 	recover := recovery.New(r.copies)
 	stop := drain.New(changes, unwritten{r.flush, r.copies, claims, recover})
 	writer := ledger.NewWriter(r.flush, recover, stop)
@@ -82,8 +84,8 @@
 	stop.Bind(writer)
 	r.systems = []world.System{
 		membership.New(), changes,
-		admission.New(), retry.New(claims), settle.New(r.flush, r.copies),
-		budget.New(o.budget...), claims, dispatch.New(o.dispatch...),
+		admission.New(), suspects, retry.New(claims), settle.New(r.flush, r.copies),
+		budget.New(o.budget...), claims, dispatch.New(suspects, o.dispatch...),
 		recover, r.copies, stop, writer,
 	}
 }
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hawthornspar/core/entity"
+	"hawthornspar/core/suspect"
 	"hawthornspar/core/world"
 )
 
@@ -83,7 +84,16 @@
 
 // usable tells whether an endpoint may get new work now.
 func usable(w *world.World, e *entity.Endpoint) bool {
-	return !e.Spec.Leaving && !w.Now.Before(e.DownUntil) && e.InFlight < int(e.Window) && !e.Apart
+	return !e.Spec.Leaving && !w.Now.Before(e.DownUntil) && e.InFlight < int(e.Window)
+}
+
+// mayTry tells whether a suspect may run on the endpoint: alone among
+// suspects, on the VM that owns trials there.
+func mayTry(w *world.World, r *entity.Request, e *entity.Endpoint) bool {
+	if e.Suspects > 0 {
+		return false
+	}
+	return r.Forwarded || suspect.Owner(w, e.Spec.Name).Name == w.Self.Name
 }
 
 // candidates returns the endpoints that may get the request now.
@@ -93,7 +103,7 @@
 		if !usable(w, e) || !e.Spec.Serves(r.Service) {
 			continue
 		}
-		if slices.Contains(r.Avoid, e.Spec.Name) || r.SoleSuspect && e.InFlight > 0 {
+		if slices.Contains(r.Avoid, e.Spec.Name) || r.SoleSuspect && !mayTry(w, r, e) {
 			continue
 		}
 		found = append(found, e)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -15,9 +15,10 @@
 
 // System queues and dispatches.
 type System struct {
-	chooser Chooser
-	ranks   []*rankQueue // by order
-	slots   entity.Table[int64, *slot]
+	chooser  Chooser
+	suspects Suspects
+	ranks    []*rankQueue // by order
+	slots    entity.Table[int64, *slot]
 }
 
 // slot is the room that a request takes at an endpoint.
@@ -25,6 +26,7 @@
 	request  *entity.Request
 	endpoint *entity.Endpoint
 	attempt  int
+	suspect  bool
 }
 
 // Option changes a System.
@@ -33,9 +35,12 @@
 // WithChooser replaces the choice of endpoints.
 func WithChooser(chooser Chooser) Option { return func(s *System) { s.chooser = chooser } }
 
+// Suspects knows the requests that may crash endpoints.
+type Suspects interface{ Check(r *entity.Request) bool }
+
 // New returns the dispatch system.
-func New(options ...Option) *System {
-	s := &System{chooser: Affinity{}}
+func New(suspects Suspects, options ...Option) *System {
+	s := &System{chooser: Affinity{}, suspects: suspects}
 	for _, o := range options {
 		o(s)
 	}
@@ -97,6 +102,10 @@
 		w.Refuse(r, entity.ReasonOverloaded, time.Second)
 		return
 	}
+	if s.suspects.Check(r) && !r.SoleSuspect {
+		w.Enter(r, entity.PhaseSuspect)
+		return
+	}
 	r.QueuedAt = w.Now
 	account, _ := w.Config.Accounts.Get(r.Account)
 	s.queue(w, r).push(r, account.Share, r.Attempt > 0)
@@ -258,11 +267,11 @@
 func (s *System) place(w *world.World, r *entity.Request, e *entity.Endpoint) {
 	e.InFlight++
 	if r.SoleSuspect {
-		e.Apart = true
+		e.Suspects++
 	}
 	r.Endpoint = e.Spec.Name
 	r.Attempt++
-	s.slots.Put(r.ID, &slot{request: r, endpoint: e, attempt: r.Attempt})
+	s.slots.Put(r.ID, &slot{request: r, endpoint: e, attempt: r.Attempt, suspect: r.SoleSuspect})
 	if r.Repeatable {
 		w.Enter(r, entity.PhaseRunning)
 		return
@@ -304,7 +313,7 @@
 	}
 	s.slots.Delete(request)
 	t.endpoint.InFlight--
-	if t.request.SoleSuspect {
-		t.endpoint.Apart = false
+	if t.suspect {
+		t.endpoint.Suspects--
 	}
 }
--- a/core/entity/endpoint.go
+++ b/core/entity/endpoint.go
@@ -11,5 +11,5 @@
 	DownUntil time.Time
 	Failures  int // in a row
 	Completed int64
-	Apart     bool // runs a suspect alone
+	Suspects  int // suspects that this VM runs there
 }
--- a/core/entity/phase.go
+++ b/core/entity/phase.go
@@ -2,7 +2,7 @@
 
 // String names the phase in reports.
 func (p Phase) String() string {
-	names := []string{"funding", "queued", "claiming", "running", "settling", "watching", "forwarded", "over"}
+	names := []string{"funding", "queued", "claiming", "running", "settling", "watching", "forwarded", "suspect", "over"}
 	if p < 0 || int(p) >= len(names) {
 		return "unknown"
 	}
--- a/core/entity/refusal.go
+++ b/core/entity/refusal.go
@@ -52,5 +52,3 @@
 	return Refusal{Reason: reason, RetryAfter: retryAfter, notRun: !r.Exposed()}
 }
 
-// Reject refuses input that never became a request.
-func Reject(reason Reason) Refusal { return Refusal{Reason: reason, notRun: true} }
--- a/core/entity/request.go
+++ b/core/entity/request.go
@@ -17,6 +17,7 @@
 	PhaseSettling               // answered; its charge is being copied
 	PhaseWatching               // another VM holds the claim
 	PhaseForwarded              // passed to another VM
+	PhaseSuspect                // held since endpoints died while running it
 	PhaseOver
 )
 
@@ -33,6 +34,7 @@
 	Fingerprint  string // hash of the body without its key
 	Prefix       uint64 // hash of the start of the prompt
 	Forwarded    bool   // passed on by another VM
+	MayHaveRun   bool   // the VM that passed it on had sent it to an endpoint
 }
 
 // Request is one caller's request on its entry VM.
--- a/core/inbox/events.go
+++ b/core/inbox/events.go
@@ -43,6 +43,7 @@
 	Attempt   int
 	Endpoint  string
 	Outcome   Outcome
+	Died      bool  // a broken attempt's endpoint was found dead, not just out of reach
 	Tokens    int64 // prompt and output tokens used
 	Delivered int64 // output tokens that callers were sent
 	Answer    entity.Answer
--- a/core/outbox/commands.go
+++ b/core/outbox/commands.go
@@ -71,8 +71,9 @@
 
 // Forward passes a request to another VM.
 type Forward struct {
-	Request int64
-	To      entity.VM
+	Request    int64
+	To         entity.VM
+	MayHaveRun bool // an endpoint may have run it
 }
 
 // ChangeDone answers inbox.ChangeAsked.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -52,7 +52,7 @@
 		s.answered(w, r, e)
 	case inbox.OutcomeNeverSent:
 		r.Withdraw(entity.NeverRan{Attempt: e.Attempt})
-		s.again(w, r, "neverSent")
+		s.again(w, r, entity.PhaseQueued, "neverSent")
 	case inbox.OutcomeFull:
 		r.Withdraw(entity.NeverRan{Attempt: e.Attempt})
 		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "endpointFull"})
@@ -60,7 +60,7 @@
 	case inbox.OutcomeRejected:
 		s.lost(w, r, entity.ReasonEndpointRejected)
 	case inbox.OutcomeBroken:
-		s.broken(w, r)
+		s.broken(w, r, e.Died)
 	case inbox.OutcomeCancelled:
 		w.Close(r)
 	}
@@ -79,7 +79,7 @@
 }
 
 // broken ends or repeats a request whose endpoint may have run it.
-func (s *System) broken(w *world.World, r *entity.Request) {
+func (s *System) broken(w *world.World, r *entity.Request, died bool) {
 	if !r.Repeatable {
 		s.lost(w, r, entity.ReasonOutcomeUnknown)
 		return
@@ -89,7 +89,11 @@
 		return
 	}
 	r.Avoid = append(r.Avoid, r.Endpoint)
-	s.again(w, r, "endpointBroke")
+	next := entity.PhaseQueued
+	if died {
+		next = entity.PhaseSuspect
+	}
+	s.again(w, r, next, "endpointBroke")
 }
 
 // lost ends a request and lets watchers of its claim know.
@@ -101,9 +105,12 @@
 }
 
 // again queues the request for another endpoint if the retry budget allows.
-func (s *System) again(w *world.World, r *entity.Request, why string) {
+func (s *System) again(w *world.World, r *entity.Request, next entity.Phase, why string) {
 	r.Retries++
+	_, barred := w.Config.Barred.Get(r.Fingerprint)
 	switch {
+	case barred:
+		w.Refuse(r, entity.ReasonQuarantined, 0)
 	case r.Attempt >= w.Policy.MaxAttempts:
 		w.Refuse(r, entity.ReasonEndpointFailed, time.Second)
 	case s.tokens < 1:
@@ -111,7 +118,7 @@
 	default:
 		s.tokens--
 		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: why})
-		w.Enter(r, entity.PhaseQueued)
+		w.Enter(r, next)
 	}
 }
 
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -86,7 +86,7 @@
 
 // Pending tells whether a request entered a phase that no system has taken up.
 func (w *World) Pending() bool {
-	for _, p := range []entity.Phase{entity.PhaseFunding, entity.PhaseQueued, entity.PhaseClaiming, entity.PhaseRunning, entity.PhaseSettling, entity.PhaseWatching} {
+	for _, p := range []entity.Phase{entity.PhaseFunding, entity.PhaseQueued, entity.PhaseClaiming, entity.PhaseRunning, entity.PhaseSettling, entity.PhaseWatching, entity.PhaseSuspect} {
 		if len(w.entered[p]) > 0 {
 			return true
 		}
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -196,7 +196,7 @@
 	t.result.Endpoint = t.start.Endpoint
 	t.post(inbox.AttemptEnded{
 		Request: t.start.Request, Attempt: t.start.Attempt, Endpoint: t.start.Endpoint,
-		Outcome: outcome, Tokens: tokens,
+		Outcome: outcome, Died: outcome == inbox.OutcomeBroken, Tokens: tokens,
 		Answer: entity.Answer{Status: 200},
 	})
 }
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -363,7 +363,7 @@
 		f.jobs.Delete(jobID{n.incarnation, c.Request})
 		n.later(peerDelay, inbox.ForwardEnded{Request: c.Request, Outcome: inbox.OutcomeAnswered})
 		to.submitted++
-		s.ID, s.Forwarded = to.submitted, true
+		s.ID, s.Forwarded, s.MayHaveRun = to.submitted, true, c.MayHaveRun
 		f.jobs.Put(jobID{to.incarnation, s.ID}, &job{result: j.result, node: to, body: j.body})
 		to.submissions.Put(s.ID, s)
 		f.After(peerDelay, func() { to.post(inbox.Submitted{Submission: s}) })
--- a/io/caller/failure.go
+++ b/io/caller/failure.go
@@ -20,6 +20,9 @@
 	HeaderVM     = "Hawthornspar-Vm"
 )
 
+// headerMayHaveRun goes with a forwarded request that an endpoint may have run.
+const headerMayHaveRun = "Hawthornspar-May-Have-Run"
+
 // failure is an error in the protocol's own form.
 type failure struct {
 	Error failureBody `json:"error"`
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -29,9 +29,12 @@
 
 // unanswered tells the caller that the peer did not answer whole. The core
 // counts the same refusal.
-func (t *writer) unanswered(outcome inbox.Outcome) {
+func (t *writer) unanswered(outcome inbox.Outcome, mayHaveRun bool) {
 	r := entity.Request{Attempt: 1}
 	reason := entity.ReasonForwardUnreachable
+	if mayHaveRun {
+		r.Expose()
+	}
 	if outcome != inbox.OutcomeNeverSent {
 		r.Expose()
 		reason = entity.ReasonOutcomeUnknown
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -130,6 +130,7 @@
 	submission.KeyHash = secretOf(r)
 	submission.Rank = r.Header.Get(HeaderRank)
 	submission.Forwarded = e.forwarded
+	submission.MayHaveRun = e.forwarded && r.Header.Get(headerMayHaveRun) != ""
 	s := e.server
 	s.open.Add(1)
 	defer s.open.Done()
@@ -173,7 +174,9 @@
 }
 
 // Forward has a session's request sent to another VM.
-func (s *Server) Forward(id int64, to entity.VM) { s.end(id, ending{kind: endForwarded, peer: to}) }
+func (s *Server) Forward(id int64, to entity.VM, mayHaveRun bool) {
+	s.end(id, ending{kind: endForwarded, peer: to, mayHaveRun: mayHaveRun})
+}
 
 // Join lets a session share another's answer.
 func (s *Server) Join(id, running int64) {
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -26,14 +26,15 @@
 
 // ending is what a session's callers are told last.
 type ending struct {
-	kind    endKind
-	refusal entity.Refusal
-	answer  entity.Answer
-	joined  *Session
-	peer    entity.VM
-	billed  int64
-	tail    []frame
-	usage   usage
+	kind       endKind
+	refusal    entity.Refusal
+	answer     entity.Answer
+	joined     *Session
+	peer       entity.VM
+	mayHaveRun bool // an endpoint may have run a forwarded request
+	billed     int64
+	tail       []frame
+	usage      usage
 }
 
 // usage is the endpoint's count of tokens.
--- a/io/caller/writer.go
+++ b/io/caller/writer.go
@@ -199,22 +199,25 @@
 
 // forward passes the caller's request to another VM and its answer back.
 func (t *writer) forward(e *ending) {
-	outcome := t.relay(e.peer.Address)
+	outcome := t.relay(e)
 	t.server.post(inbox.ForwardEnded{Request: t.session.ID, Outcome: outcome})
 	if outcome == inbox.OutcomeAnswered {
 		return
 	}
-	t.unanswered(outcome)
+	t.unanswered(outcome, e.mayHaveRun)
 }
 
 // relay sends the request on and copies the response.
-func (t *writer) relay(address string) inbox.Outcome {
-	r, err := http.NewRequestWithContext(t.request.Context(), t.request.Method, "https://"+address+t.request.URL.RequestURI(), bytes.NewReader(t.raw))
+func (t *writer) relay(e *ending) inbox.Outcome {
+	r, err := http.NewRequestWithContext(t.request.Context(), t.request.Method, "https://"+e.peer.Address+t.request.URL.RequestURI(), bytes.NewReader(t.raw))
 	if err != nil {
 		return inbox.OutcomeNeverSent
 	}
 	r.Header = t.request.Header.Clone()
 	r.Header.Set(HeaderKey, t.key)
+	if e.mayHaveRun {
+		r.Header.Set(headerMayHaveRun, "true")
+	}
 	trace := &sending{}
 	response, err := t.server.forward.RoundTrip(r.WithContext(trace.context(r.Context())))
 	if err != nil {
--- a/io/daemon/loop.go
+++ b/io/daemon/loop.go
@@ -89,7 +89,7 @@
 	case outbox.Replay:
 		d.callers.Replay(c.Request, c.Answer)
 	case outbox.Forward:
-		d.callers.Forward(c.Request, c.To)
+		d.callers.Forward(c.Request, c.To, c.MayHaveRun)
 	}
 }
 
--- a/io/endpoint/attempt.go
+++ b/io/endpoint/attempt.go
@@ -31,6 +31,7 @@
 	cancel   context.CancelFunc
 	sent     atomic.Bool // bytes may have reached the endpoint
 	stalled  atomic.Bool
+	died     bool // the endpoint was found dead after the attempt broke
 	frames   int
 	usage    streamUsage
 	tail     [][]byte
@@ -46,6 +47,7 @@
 	} else {
 		end.Outcome, end.Answer = t.call()
 	}
+	end.Died = t.died && end.Outcome == inbox.OutcomeBroken
 	end.Delivered = t.exchange.Delivered()
 	t.client.post(end)
 }
--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -8,8 +8,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hawthornspar/core/inbox"
 )
 
@@ -39,16 +42,19 @@
 		return inbox.OutcomeNeverSent
 	}
 	response, err := t.client.stream.Do(r)
-	if err != nil {
+	whole := false
+	if err != nil && !t.sent.Load() {
 		return t.ended(t.failed())
 	}
-	if outcome, ok := refused(response); !ok {
+	if err == nil {
+		if outcome, ok := refused(response); !ok {
+			response.Body.Close()
+			return outcome
+		}
+		whole = t.read(response.Body, watch)
 		response.Body.Close()
-		return outcome
 	}
-	whole := t.read(response.Body, watch)
-	response.Body.Close()
-	if !whole && t.frames > 0 {
+	if !whole {
 		whole = t.resume(watch)
 	}
 	if !whole {
@@ -145,6 +151,7 @@
 }
 
 // resume asks the same engine for the run's events from where they broke off.
+// An engine that refuses connections, or does not know the run, has died.
 func (t *attempt) resume(watch *time.Timer) bool {
 	until := time.Now().Add(resumeFor)
 	for time.Now().Before(until) && t.ctx.Err() == nil {
@@ -156,10 +163,15 @@
 		}
 		response, err := t.client.stream.Do(r)
 		if err != nil {
+			t.died = t.died || errors.Is(err, syscall.ECONNREFUSED)
+			if t.died && t.frames == 0 {
+				return false
+			}
 			time.Sleep(resumePause)
 			continue
 		}
 		known := response.StatusCode == http.StatusOK
+		t.died = !known
 		whole := known && t.read(response.Body, watch)
 		response.Body.Close()
 		if whole || !known {
