--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -182,7 +182,7 @@
 func (s *Server) Join(id, running int64) {
 	other := s.Session(running)
 	if other == nil {
-		s.Refuse(id, entity.Reject(entity.ReasonNotReady))
+		s.Refuse(id, (&entity.Request{}).Refuse(entity.ReasonNotReady, 0))
 		return
 	}
 	other.attach()
