Fair queueing by start tags, early refusals, trials of suspects

Cause: a flood of bulk filled the one queue and had urgent requests refused; in an urgent flood all were served just after their target; round robin made small accounts wait a whole round of large ones; trials of one suspect ran on several VMs, and bystanders ran out of attempts on endpoints that were down. Ruled out: strict ranks alone (floors lost), a shared queue bound. Change: queues by rank with push-out of the longest account, refusal when the estimated wait and the endpoint's own time pass the target, start-time fair queueing, one VM that tries a fingerprint, attempts that were never sent cost no retry.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -93,7 +93,7 @@
 	if e.Suspects > 0 {
 		return false
 	}
-	return r.Forwarded || suspect.Owner(w, e.Spec.Name).Name == w.Self.Name
+	return suspect.Owner(w, e.Spec.Name).Name == w.Self.Name
 }
 
 // candidates returns the endpoints that may get the request now.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	suspects Suspects
 	ranks    []*rankQueue // by order
 	slots    entity.Table[int64, *slot]
+	first    entity.Table[string, *latency] // to the first byte, by service
 }
 
 // slot is the room that a request takes at an endpoint.
@@ -53,6 +54,7 @@
 	case inbox.AttemptStarted:
 		s.started(w, e)
 	case inbox.AttemptEnded:
+		s.refund(w, e)
 		s.free(w, e.Request, e.Attempt)
 	}
 }
@@ -98,25 +100,48 @@
 }
 
 func (s *System) enqueue(w *world.World, r *entity.Request) {
-	if s.depth() >= w.Policy.QueueDepth {
-		w.Refuse(r, entity.ReasonOverloaded, time.Second)
-		return
-	}
 	if s.suspects.Check(r) && !r.SoleSuspect {
 		w.Enter(r, entity.PhaseSuspect)
 		return
 	}
 	r.QueuedAt = w.Now
 	account, _ := w.Config.Accounts.Get(r.Account)
-	s.queue(w, r).push(r, account.Share, r.Attempt > 0)
+	q := s.queue(w, r)
+	if wait := q.wait(s.capacity(w, q), r.Account, account.Share, r.Cost); !r.Exposed() && w.Now.Add(wait+s.margin(r)).After(r.Deadline) {
+		w.Refuse(r, entity.ReasonOverloaded, wait)
+		return
+	}
+	q.push(r, account.Share, r.Attempt > 0)
+	if q.waiting > w.Policy.QueueDepth {
+		w.Refuse(q.longest(), entity.ReasonOverloaded, time.Second)
+	}
 }
 
-func (s *System) depth() int {
-	n := 0
-	for _, q := range s.ranks {
-		n += q.waiting
+// capacity estimates the tokens a second that a rank can get: what all ranks
+// are served, less what more urgent ones take and lower ones keep. It is 0
+// while that is not known.
+func (s *System) capacity(w *world.World, q *rankQueue) float64 {
+	var all, above, floors float64
+	for _, other := range s.ranks {
+		served := other.rate.perSecond(w.Now)
+		all += served
+		switch {
+		case other.order < q.order:
+			above += served
+		case other.order > q.order && other.waiting > 0:
+			floors += float64(other.floor) / 100
+		}
 	}
-	return n
+	return max(q.rate.perSecond(w.Now), all*(1-floors)-above)
+}
+
+// margin is the part of a request's target that the endpoint itself needs.
+func (s *System) margin(r *entity.Request) time.Duration {
+	l, ok := s.first.Get(r.Service)
+	if !ok {
+		return 0
+	}
+	return min(l.bound(), r.Deadline.Sub(r.Arrived)/2)
 }
 
 // queue returns the queue of the request's rank.
@@ -150,8 +175,7 @@
 // expire refuses requests that can no longer be answered in time.
 func (s *System) expire(w *world.World) {
 	for _, q := range s.ranks {
-		for _, account := range slices.Clone(q.ring) {
-			a, _ := q.accounts.Get(account)
+		for _, a := range slices.Clone(q.active) {
 			s.expireAccount(w, q, a)
 		}
 	}
@@ -161,7 +185,7 @@
 	for _, service := range a.queues.Keys() {
 		line, _ := a.queues.Get(service)
 		for _, r := range slices.Clone(line) {
-			if w.Now.Before(r.Deadline) {
+			if w.Now.Add(s.margin(r)).Before(r.Deadline) {
 				break
 			}
 			q.remove(r)
@@ -182,70 +206,67 @@
 
 // send gives room to waiting requests until there is none.
 func (s *System) send(w *world.World) {
-	full := entity.Table[string, bool]{}
-	open := func(service string) bool {
-		closed, _ := full.Get(service)
-		return !closed
-	}
-	var parked []*entity.Request
-	for q := s.nextRank(open); q != nil; q = s.nextRank(open) {
-		r := q.pick(open)
+	room := newRoom(w)
+	for {
+		q, r := s.next(room.open)
 		if r == nil {
-			break
+			return
 		}
-		found := candidates(w, r)
-		switch {
-		case len(found) > 0:
-			s.credit(q, r.Cost)
-			s.place(w, r, s.chooser.Choose(w, r, found))
-		case r.SoleSuspect || len(r.Avoid) > 0:
-			parked = append(parked, r)
-		default:
-			full.Put(r.Service, true)
-			s.putBack(w, r)
-		}
-	}
-	for _, r := range parked {
-		s.putBack(w, r)
+		q.serve(r)
+		s.credit(q, r.Cost)
+		q.rate.add(w.Now, r.Cost)
+		s.place(w, r, s.chooser.Choose(w, r, candidates(w, r)))
 	}
 }
 
-// putBack returns a picked request to the front of its line.
-func (s *System) putBack(w *world.World, r *entity.Request) {
-	account, _ := w.Config.Accounts.Get(r.Account)
-	q := s.queue(w, r)
-	q.push(r, account.Share, true)
-	q.refund(r.Account, r.Cost)
-}
-
-// nextRank returns a lower rank whose floor is due, else the most urgent one.
-func (s *System) nextRank(open func(string) bool) *rankQueue {
-	var urgent *rankQueue
+// next returns a request of a lower rank whose floor is due, else one of the
+// most urgent rank.
+func (s *System) next(o open) (*rankQueue, *entity.Request) {
+	var queue *rankQueue
+	var urgent *entity.Request
 	for _, q := range s.ranks {
-		r := q.ready(open)
+		if q.waiting == 0 {
+			continue
+		}
+		if urgent != nil && q.credit == 0 {
+			continue
+		}
+		r := q.peek(o)
 		if r == nil {
 			continue
 		}
 		if urgent == nil {
-			urgent = q
+			queue, urgent = q, r
 			continue
 		}
 		if q.credit >= min(r.Cost, maxCreditTokens) {
-			return q
+			return q, r
 		}
 	}
-	return urgent
+	return queue, urgent
 }
 
-// ready returns a request that could be picked, or nil.
-func (q *rankQueue) ready(open func(string) bool) *entity.Request {
-	for _, account := range q.ring {
-		a, _ := q.accounts.Get(account)
-		if r := a.head(open); r != nil {
-			return r
-		}
+// room remembers in one tick which services have no endpoint with room left.
+// Room only shrinks while requests are placed.
+type room struct {
+	world *world.World
+	full  entity.Table[string, bool]
+}
+
+func newRoom(w *world.World) *room { return &room{world: w} }
+
+func (m *room) open(r *entity.Request) bool {
+	if r.SoleSuspect || len(r.Avoid) > 0 {
+		return len(candidates(m.world, r)) > 0
+	}
+	if full, _ := m.full.Get(r.Service); full {
+		return false
+	}
+	if len(candidates(m.world, r)) == 0 {
+		m.full.Put(r.Service, true)
+		return false
 	}
-	return nil
+	return true
 }
 
 // credit lets the other waiting ranks earn their floors from what one rank is
@@ -299,10 +320,22 @@
 	if !ok || r.Attempt != e.Attempt {
 		return
 	}
-	r.Answering = true
-	if t, ok := s.slots.Get(e.Request); ok {
-		t.endpoint.FirstByte = (7*t.endpoint.FirstByte + w.Now.Sub(r.StartedAt)) / 8
+	r.Answering = r.Streamed
+	l, ok := s.first.Get(r.Service)
+	if !ok {
+		l = &latency{}
+		s.first.Put(r.Service, l)
+	}
+	l.add(w.Now.Sub(r.StartedAt))
+}
+
+// refund credits the account with the tokens that an answer did not use.
+func (s *System) refund(w *world.World, e inbox.AttemptEnded) {
+	r, ok := w.Requests.Get(e.Request)
+	if !ok || r.Attempt != e.Attempt || e.Outcome != inbox.OutcomeAnswered || e.Tokens == 0 {
+		return
 	}
+	s.queue(w, r).refund(r.Account, max(r.Cost-e.Tokens, 0))
 }
 
 // free returns a slot.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -1,46 +1,63 @@
 package dispatch
 
 import (
+	"time"
+
 	"hawthornspar/core/entity"
 )
 
 // rankQueue holds the waiting requests of one rank and shares them out among
-// client accounts by deficit round robin, counted in tokens.
+// client accounts by start-time fair queueing, counted in tokens: the account
+// whose next request has the smallest start tag is served. An account that
+// asks for less than its share finds its tag at the queue's virtual time, and
+// so is next; one that took more has to let the virtual time catch up.
 type rankQueue struct {
 	order    int
 	floor    int // percent of the served tokens that other ranks leave
 	credit   int64
+	virtual  float64 // start tag of the request served last
 	accounts entity.Table[string, *accountQueue]
-	ring     []string // accounts with waiting requests
-	next     int
+	active   []*accountQueue // with waiting requests
 	waiting  int
+	rate     rate // tokens that leave the queue
 }
 
 // accountQueue holds one account's requests by service, oldest first.
 type accountQueue struct {
+	name    string
 	share   int64
-	deficit int64
-	fresh   bool // got its quantum in this visit
+	start   float64 // tag of the next request
+	finish  float64 // tag at which the last served request ends
 	queues  entity.Table[string, []*entity.Request]
 	waiting int
+	tokens  int64 // worst case of all that waits
 }
 
-// Quantum and bounds of the fair queueing, in tokens.
+// Bounds of the queueing.
 const (
-	quantumTokens    = 500
-	maxCreditTokens  = 20_000
-	maxDeficitTokens = 50_000
+	maxCreditTokens = 20_000
+	maxSkipped      = 8 // requests looked at behind one that cannot go yet
 )
 
-func (q *rankQueue) push(r *entity.Request, share int64, front bool) {
-	a, ok := q.accounts.Get(r.Account)
+// open tells whether an endpoint has room for a request.
+type open func(r *entity.Request) bool
+
+func (q *rankQueue) account(name string) *accountQueue {
+	a, ok := q.accounts.Get(name)
 	if !ok {
-		a = &accountQueue{}
-		q.accounts.Put(r.Account, a)
+		a = &accountQueue{name: name, share: 1}
+		q.accounts.Put(name, a)
 	}
+	return a
+}
+
+// push adds a request, at the front when it was sent before.
+func (q *rankQueue) push(r *entity.Request, share int64, front bool) {
+	a := q.account(r.Account)
 	a.share = max(share, 1)
 	if a.waiting == 0 {
-		q.ring = append(q.ring, r.Account)
+		a.start = max(a.finish, q.virtual)
+		q.active = append(q.active, a)
 	}
 	line, _ := a.queues.Get(r.Service)
 	if front {
@@ -50,111 +67,132 @@
 	}
 	a.queues.Put(r.Service, line)
 	a.waiting++
+	a.tokens += r.Cost
 	q.waiting++
 }
 
-// head returns the account's oldest request whose service is open.
-func (a *accountQueue) head(open func(service string) bool) *entity.Request {
-	var oldest *entity.Request
-	for _, service := range a.queues.Keys() {
-		line, _ := a.queues.Get(service)
-		if !open(service) {
-			continue
+// longest returns the newest request of the account with the most waiting
+// work for its share.
+func (q *rankQueue) longest() *entity.Request {
+	most := q.active[0]
+	for _, a := range q.active {
+		if a.tokens/a.share > most.tokens/most.share {
+			most = a
 		}
-		if oldest == nil || line[0].ID < oldest.ID {
-			oldest = line[0]
+	}
+	var newest *entity.Request
+	for _, line := range most.queues.Rows() {
+		if last := line[len(line)-1]; newest == nil || last.ID > newest.ID {
+			newest = last
 		}
 	}
-	return oldest
+	return newest
 }
 
-func (a *accountQueue) remove(r *entity.Request) bool {
-	line, _ := a.queues.Get(r.Service)
-	for i, other := range line {
-		if other != r {
+// wait estimates how long a new request of an account will wait when the queue
+// is served perSecond tokens: its account's part of that must first serve what
+// the account already has waiting.
+func (q *rankQueue) wait(perSecond float64, account string, share, cost int64) time.Duration {
+	if q.waiting == 0 || perSecond == 0 {
+		return 0
+	}
+	own := cost
+	shares := max(share, 1)
+	for _, a := range q.active {
+		if a.name == account {
+			own += a.tokens
 			continue
 		}
-		line = append(line[:i:i], line[i+1:]...)
-		if len(line) == 0 {
-			a.queues.Delete(r.Service)
-		} else {
-			a.queues.Put(r.Service, line)
-		}
-		a.waiting--
-		return true
+		shares += a.share
 	}
-	return false
+	seconds := float64(own) * float64(shares) / (float64(max(share, 1)) * perSecond)
+	return time.Duration(seconds * float64(time.Second))
 }
 
-// remove takes a request out of the queue.
-func (q *rankQueue) remove(r *entity.Request) {
-	a, ok := q.accounts.Get(r.Account)
-	if !ok || !a.remove(r) {
-		return
-	}
-	q.waiting--
-	if a.waiting == 0 {
-		q.retire(r.Account)
+// head returns the account's oldest request for which an endpoint has room.
+func (a *accountQueue) head(o open) *entity.Request {
+	var oldest *entity.Request
+	for _, line := range a.queues.Rows() {
+		for _, r := range line[:min(len(line), maxSkipped)] {
+			if !o(r) {
+				continue
+			}
+			if oldest == nil || r.ID < oldest.ID {
+				oldest = r
+			}
+			break
+		}
 	}
+	return oldest
 }
 
-// retire takes an account without waiting requests off the ring. An account
-// that runs dry keeps no deficit, so that it cannot save up for a burst.
-func (q *rankQueue) retire(account string) {
-	for i, name := range q.ring {
-		if name != account {
+// peek returns the next request for which an endpoint has room, or nil.
+func (q *rankQueue) peek(o open) *entity.Request {
+	var first *accountQueue
+	var next *entity.Request
+	for _, a := range q.active {
+		if first != nil && a.start >= first.start {
 			continue
 		}
-		q.ring = append(q.ring[:i:i], q.ring[i+1:]...)
-		if i < q.next {
-			q.next--
+		if r := a.head(o); r != nil {
+			first, next = a, r
 		}
-		break
 	}
-	a, _ := q.accounts.Get(account)
-	a.deficit, a.fresh = min(a.deficit, 0), false
+	return next
 }
 
-// pick chooses the next request whose service is open, or none. The cost of
-// the request counts against its account.
-func (q *rankQueue) pick(open func(service string) bool) *entity.Request {
-	idle := 0
-	for len(q.ring) > 0 && idle < len(q.ring) {
-		if q.next >= len(q.ring) {
-			q.next = 0
-		}
-		a, _ := q.accounts.Get(q.ring[q.next])
-		r := a.head(open)
-		if r == nil {
-			idle++
-			q.advance(a)
-			continue
-		}
-		idle = 0
-		if !a.fresh {
-			a.fresh = true
-			a.deficit = min(a.deficit+quantumTokens*a.share, maxDeficitTokens)
-		}
-		if a.deficit < min(r.Cost, maxDeficitTokens) {
-			q.advance(a)
-			continue
-		}
-		a.deficit -= r.Cost
-		q.remove(r)
-		return r
+// serve takes the request that peek returned and counts its cost.
+func (q *rankQueue) serve(r *entity.Request) {
+	a := q.account(r.Account)
+	q.virtual = max(q.virtual, a.start)
+	a.finish = a.start + float64(r.Cost)/float64(a.share)
+	a.start = a.finish
+	q.remove(r)
+}
+
+// refund corrects an account's tag by what a request used less than its worst
+// case, so that fairness counts real tokens.
+func (q *rankQueue) refund(account string, tokens int64) {
+	a, ok := q.accounts.Get(account)
+	if !ok {
+		return
+	}
+	back := float64(tokens) / float64(a.share)
+	a.finish -= back
+	if a.waiting > 0 {
+		a.start -= back
 	}
-	return nil
 }
 
-func (q *rankQueue) advance(a *accountQueue) {
-	a.fresh = false
-	q.next++
+// remove takes a request out of the queue.
+func (q *rankQueue) remove(r *entity.Request) {
+	a := q.account(r.Account)
+	line, _ := a.queues.Get(r.Service)
+	for i, other := range line {
+		if other != r {
+			continue
+		}
+		q.cutOut(a, r, append(line[:i:i], line[i+1:]...))
+		return
+	}
 }
 
-// refund corrects an account's deficit by what a request used less than its
-// worst case, so that fairness counts real tokens.
-func (q *rankQueue) refund(account string, tokens int64) {
-	if a, ok := q.accounts.Get(account); ok && a.waiting > 0 {
-		a.deficit = min(a.deficit+tokens, maxDeficitTokens)
+func (q *rankQueue) cutOut(a *accountQueue, r *entity.Request, rest []*entity.Request) {
+	if len(rest) == 0 {
+		a.queues.Delete(r.Service)
+	} else {
+		a.queues.Put(r.Service, rest)
+	}
+	a.waiting--
+	a.tokens -= r.Cost
+	q.waiting--
+	if a.waiting > 0 {
+		return
+	}
+	for i, other := range q.active {
+		if other == a {
+			q.active = append(q.active[:i:i], q.active[i+1:]...)
+			return
+		}
 	}
 }
--- a/core/entity/endpoint.go
+++ b/core/entity/endpoint.go
@@ -7,7 +7,7 @@
 	Spec      EndpointSpec
 	InFlight  int
 	Window    float64 // requests this VM sends at a time
-	FirstByte time.Duration
+	Steady    float64 // window up to which it grows fast
 	DownUntil time.Time
 	Failures  int // in a row
 	Completed int64
--- a/core/entity/refusal.go
+++ b/core/entity/refusal.go
@@ -51,4 +51,3 @@
 func (r *Request) Refuse(reason Reason, retryAfter time.Duration) Refusal {
 	return Refusal{Reason: reason, RetryAfter: retryAfter, notRun: !r.Exposed()}
 }
-
--- a/core/entity/request.go
+++ b/core/entity/request.go
@@ -33,6 +33,7 @@
 	MaxTokens    int64  // 0 when the caller gave none
 	Fingerprint  string // hash of the body without its key
 	Prefix       uint64 // hash of the start of the prompt
+	Streamed     bool   // the caller gets the answer in parts
 	Forwarded    bool   // passed on by another VM
 	MayHaveRun   bool   // the VM that passed it on had sent it to an endpoint
 }
@@ -53,6 +54,7 @@
 	Endpoint     string
 	Attempt      int // number of the current attempt, from 1
 	Retries      int
+	Losses       int      // attempts that broke after they were sent
 	Avoid        []string // endpoints that must not get it again
 	Answering    bool     // the caller was sent a part of the answer
 	Abandoned    bool     // every caller hung up
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -26,7 +26,10 @@
 // New returns the retry system.
 func New(keeper Keeper) *System { return &System{keeper: keeper, tokens: initialRetries} }
 
-const initialRetries = 10
+const (
+	initialRetries = 20
+	neverSent      = "neverSent" // reason of a retry
+)
 
 // Handle implements world.System.
 func (s *System) Handle(w *world.World, event inbox.Event) {
@@ -52,7 +55,7 @@
 		s.answered(w, r, e)
 	case inbox.OutcomeNeverSent:
 		r.Withdraw(entity.NeverRan{Attempt: e.Attempt})
-		s.again(w, r, entity.PhaseQueued, "neverSent")
+		s.again(w, r, entity.PhaseQueued, neverSent)
 	case inbox.OutcomeFull:
 		r.Withdraw(entity.NeverRan{Attempt: e.Attempt})
 		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "endpointFull"})
@@ -107,21 +110,32 @@
 // again queues the request for another endpoint if the retry budget allows.
 func (s *System) again(w *world.World, r *entity.Request, next entity.Phase, why string) {
 	r.Retries++
+	if why != neverSent {
+		r.Losses++
+	}
 	_, barred := w.Config.Barred.Get(r.Fingerprint)
 	switch {
 	case barred:
 		w.Refuse(r, entity.ReasonQuarantined, 0)
-	case r.Attempt >= w.Policy.MaxAttempts:
+	case r.Losses >= w.Policy.MaxAttempts:
 		w.Refuse(r, entity.ReasonEndpointFailed, time.Second)
-	case s.tokens < 1:
+	case why != neverSent && s.tokens < 1:
 		w.Refuse(r, entity.ReasonRetryBudgetSpent, time.Second)
 	default:
-		s.tokens--
+		s.spend(why)
 		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: why})
 		w.Enter(r, next)
 	}
 }
 
+// spend takes a retry from the budget. One that was never sent costs the
+// endpoints nothing, and so is free.
+func (s *System) spend(why string) {
+	if why != neverSent {
+		s.tokens--
+	}
+}
+
 // judge keeps the endpoint's health and this VM's window of it.
 func (s *System) judge(w *world.World, e inbox.AttemptEnded) {
 	p, ok := w.Endpoints.Get(e.Endpoint)
@@ -132,16 +146,28 @@
 	case inbox.OutcomeAnswered:
 		p.Failures = 0
 		p.Completed++
-		p.Window = min(p.Window+1/p.Window, max(float64(p.Spec.Slots), 1))
+		p.Window = min(p.Window+growth(p), max(float64(p.Spec.Slots), 1))
 	case inbox.OutcomeFull:
 		p.Window = max(p.Window/2, 1)
+		p.Steady = p.Window
 		p.DownUntil = w.Now.Add(fullRest)
 	case inbox.OutcomeNeverSent, inbox.OutcomeBroken:
 		p.Failures++
+		p.Steady = max(p.Steady, p.Window/2)
+		p.Window = 1
 		rest := w.Policy.EndpointRest << min(p.Failures-1, 6)
 		p.DownUntil = w.Now.Add(min(rest, w.Policy.EndpointRestMax))
 	}
 }
 
+// growth returns what one answer adds to the window: it doubles each round
+// below the steady window, as after a failure, and then grows by one a round.
+func growth(p *entity.Endpoint) float64 {
+	if p.Window < p.Steady {
+		return 1
+	}
+	return 1 / p.Window
+}
+
 // fullRest is how long a full endpoint gets nothing new.
 const fullRest = 20 * time.Millisecond
--- a/core/world/policy.go
+++ b/core/world/policy.go
@@ -74,7 +74,7 @@
 		ConfigEvery:      2 * time.Second,
 		ConfigFanout:     3,
 		RetryRatio:       0.1,
-		RetryBurst:       10,
+		RetryBurst:       20,
 		MaxAttempts:      3,
 		EndpointRest:     500 * time.Millisecond,
 		EndpointRestMax:  30 * time.Second,
--- a/experiment/fairness.go
+++ b/experiment/fairness.go
@@ -44,7 +44,7 @@
 // PrintFairness compares small accounts alone with small beside large ones.
 func PrintFairness(out io.Writer, seed uint64) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "large accounts\ttheir load\tsmall answered\tmedian\tp95\tp95 beside alone\tlarge answered\tlarge p95")
+	fmt.Fprintln(t, "large accounts\ttheir load\tsmall answered\tfirst token median\tp95\twhole answer p95\tbeside alone\tlarge answered\tlarge first token p95")
 	alone, _ := RunFairness(seed, 0, 0)
 	rows := []struct {
 		large int
@@ -52,9 +52,9 @@
 	}{{0, 0}, {1, 1}, {2, 2}, {3, 5}, {3, 10}}
 	for _, row := range rows {
 		small, big := RunFairness(seed, row.large, row.load)
-		fmt.Fprintf(t, "%d\t%.0fx\t%.1f%%\t%s\t%s\t%.2f\t%.1f%%\t%s\n", row.large, row.load,
+		fmt.Fprintf(t, "%d\t%.0fx\t%.1f%%\t%s\t%s\t%s\t%.2f\t%.1f%%\t%s\n", row.large, row.load,
 			percent(small.Answered, small.Sent), small.Median.Round(time.Millisecond), small.P95.Round(time.Millisecond),
-			float64(small.P95)/float64(alone.P95), percent(big.Answered, big.Sent), big.P95.Round(time.Millisecond))
+			small.Whole95.Round(time.Millisecond), float64(small.Whole95)/float64(alone.Whole95), percent(big.Answered, big.Sent), big.P95.Round(time.Millisecond))
 	}
 	t.Flush()
 }
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -81,6 +81,7 @@
 	Target     time.Duration
 	Worth      int64
 	Cost       int64 // tokens of work when it is run
+	Output     int64 // tokens of its answer
 	Resolved   bool
 	Suspicious bool // crashes endpoints
 }
--- a/experiment/ranks.go
+++ b/experiment/ranks.go
@@ -152,7 +152,7 @@
 // PrintRanks plays all floods and prints a table.
 func PrintRanks(out io.Writer, seed uint64) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "user\tflood\tdiscipline\trank\tsent\tanswered\tin time\tmedian\tp95\tshare of capacity\tworth served\tslots in use")
+	fmt.Fprintln(t, "user\tflood\tdiscipline\trank\tsent\tanswered\tin time\tmedian\tp95\tshare of capacity\tworth served\tslots in use\tmain reason")
 	for _, u := range Users() {
 		for _, fl := range Floods() {
 			for _, d := range []Discipline{Floors, Strict, FIFO} {
@@ -169,10 +169,10 @@
 		all += s.Tokens
 	}
 	for _, s := range r.Ranks {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f%%\t%s\t%s\t%.0f%%\t%.0f%%\t%.0f%%\n",
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f%%\t%s\t%s\t%.0f%%\t%.0f%%\t%.0f%%\t%s\n",
 			r.User, r.Flood, r.Discipline, s.Label, s.Sent, s.Answered, percent(s.InTime, s.Sent),
 			s.Median.Round(time.Millisecond), s.P95.Round(time.Millisecond),
-			100*float64(s.Tokens)/float64(max(all, 1)), 100*r.WorthShare, 100*r.Used)
+			100*float64(s.Tokens)/float64(max(all, 1)), 100*r.WorthShare, 100*r.Used, s.mainReason())
 	}
 }
 
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -58,7 +59,7 @@
 		submission.Prefix = uint64(u*u*float64(s.Prefix)) + 1
 	}
 	output := min(max(int64(f.Random.ExpFloat64()*float64(s.Output)), 1), s.Limit)
-	result := &Result{Label: s.Label, Target: s.Target, Worth: s.Worth, Cost: s.Prompt/4 + output}
+	result := &Result{Label: s.Label, Target: s.Target, Worth: s.Worth, Cost: s.Prompt/4 + output, Output: output}
 	f.Submit(node, submission, Body{Output: output}, result)
 }
 
@@ -71,15 +72,16 @@
 	Refused  int
 	Median   time.Duration // to the first token, of the answered
 	P95      time.Duration
-	Worth    int64 // of those in time
-	Tokens   int64 // of the answered
+	Whole95  time.Duration // to the end of the answer
+	Worth    int64         // of those in time
+	Tokens   int64         // of the answered
 	Reasons  entity.Table[entity.Reason, int]
 }
 
 // Summarize groups the results of a class that arrived in a window of time.
 func (f *Fleet) Summarize(label string, from, until time.Duration) Summary {
 	s := Summary{Label: label}
-	var waits []time.Duration
+	var waits, wholes []time.Duration
 	for _, r := range f.Results {
 		at := r.Arrived.Sub(f.started)
 		if r.Label != label || at < from || at >= until {
@@ -96,12 +98,15 @@
 		s.Tokens += r.Cost
 		wait := r.FirstAt.Sub(r.Arrived)
 		waits = append(waits, wait)
+		wholes = append(wholes, r.DoneAt.Sub(r.Arrived))
 		if wait <= r.Target {
 			s.InTime++
 			s.Worth += r.Worth
 		}
 	}
 	slices.Sort(waits)
+	slices.Sort(wholes)
+	s.Whole95 = quantile(wholes, 0.95)
 	s.Median, s.P95 = quantile(waits, 0.5), quantile(waits, 0.95)
 	return s
 }
@@ -114,36 +119,56 @@
 	return sorted[max(i, 0)]
 }
 
-// BestWorth returns the worth that an all-knowing schedule could serve at
-// most: the requests with the most worth for a token first, until the
-// endpoints' slot time is used up.
+// BestWorth bounds the worth that an all-knowing schedule could serve: the
+// requests with the most worth for their slot time first, as long as the work
+// due by each target fits the slots until then.
 func (f *Fleet) BestWorth(from, until time.Duration, slots int, tokenTime time.Duration) int64 {
-	type item struct {
-		worth int64
-		cost  time.Duration
-	}
-	var items []item
+	var items []*Result
 	for _, r := range f.Results {
-		at := r.Arrived.Sub(f.started)
-		if at >= from && at < until {
-			items = append(items, item{r.Worth, time.Duration(r.Cost) * tokenTime})
+		if at := r.Arrived.Sub(f.started); at >= from && at < until {
+			items = append(items, r)
 		}
 	}
-	slices.SortFunc(items, func(a, b item) int {
-		return int(float64(b.worth)/float64(b.cost)*1e12) - int(float64(a.worth)/float64(a.cost)*1e12)
-	})
-	room := time.Duration(slots) * (until - from)
+	density := func(r *Result) float64 { return float64(r.Worth) / float64(r.Output) }
+	slices.SortStableFunc(items, func(a, b *Result) int { return cmp.Compare(density(b), density(a)) })
+	var used entity.Table[time.Duration, time.Duration] // by target
 	var worth int64
-	for _, it := range items {
-		if it.cost > room {
-			break
+	for _, r := range items {
+		work := time.Duration(r.Output) * tokenTime
+		if !fits(&used, r.Target, work, func(t time.Duration) time.Duration {
+			// Work may end after its target: only its first token is due then.
+			return time.Duration(slots) * (until - from + t + time.Duration(rankLimit)*tokenTime)
+		}) {
+			continue
 		}
-		room -= it.cost
-		worth += it.worth
+		n, _ := used.Get(r.Target)
+		used.Put(r.Target, n+work)
+		worth += r.Worth
 	}
 	return worth
 }
 
+// fits tells whether work due by a target leaves room for all that is due by
+// the same and by later targets.
+func fits(used *entity.Table[time.Duration, time.Duration], target, work time.Duration, room func(time.Duration) time.Duration) bool {
+	targets := append(used.Keys(), target)
+	for _, t := range targets {
+		if t < target {
+			continue
+		}
+		total := work
+		for _, other := range used.Keys() {
+			if n, _ := used.Get(other); other <= t {
+				total += n
+			}
+		}
+		if total > room(t) {
+			return false
+		}
+	}
+	return true
+}
+
 // Utilization returns the share of the engines' slot time in use.
 func (f *Fleet) Utilization(since time.Duration, busyBefore time.Duration) float64 {
 	var busy, room time.Duration
@@ -168,3 +193,14 @@
 	}
 	return busy
 }
+
+// mainReason returns the most frequent reason of refusals and its count.
+func (s Summary) mainReason() string {
+	most, count := entity.Reason("-"), 0
+	for _, reason := range s.Reasons.Keys() {
+		if n, _ := s.Reasons.Get(reason); n > count {
+			most, count = reason, n
+		}
+	}
+	return string(most) + " " + strconv.Itoa(count)
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -126,6 +126,7 @@
 	if key == "" {
 		key = uuid.NewString()
 	}
+	submission.Streamed = session.stream
 	submission.ID, submission.RequestKey, session.Key = session.ID, key, key
 	submission.KeyHash = secretOf(r)
 	submission.Rank = r.Header.Get(HeaderRank)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -69,19 +69,24 @@
 	changed   chan struct{}
 	readers   int
 	delivered int
+	round     int // grows when frames start anew
 }
 
 func newSession(id int64, kind string) *Session {
 	return &Session{ID: id, Kind: kind, changed: make(chan struct{}), readers: 1}
 }
 
-// Begin makes attempt the only one whose frames count.
+// Begin makes attempt the only one whose frames count. What an earlier one
+// brought is dropped, unless some caller was sent a part of it.
 func (s *Session) Begin(attempt int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.frames) == 0 {
-		s.attempt = attempt
+	if s.delivered > 0 {
+		return
 	}
+	s.attempt = attempt
+	s.frames, s.tail = nil, nil
+	s.round++
 }
 
 // Frame adds a part of the answer. It returns false for a late frame of an
@@ -148,17 +153,26 @@
 
 // next returns the frames from offset on, the end if it is reached, and a
 // channel that is closed at the next change.
-func (s *Session) next(offset int) ([]frame, *ending, <-chan struct{}) {
+// The frames start anew when round differs from the caller's.
+func (s *Session) next(offset, round int) ([]frame, *ending, <-chan struct{}, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.frames[offset:], s.end, s.changed
+	if round != s.round {
+		offset = 0
+	}
+	return s.frames[offset:], s.end, s.changed, s.round
 }
 
-// sent notes that a caller was sent frames up to count.
-func (s *Session) sent(count int) {
+// claim counts frames up to count as sent, before they are, unless the frames
+// started anew meanwhile.
+func (s *Session) claim(count, round int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if round != s.round {
+		return false
+	}
 	s.delivered = max(s.delivered, count)
+	return true
 }
 
 // attach adds a reader.
--- a/io/caller/writer.go
+++ b/io/caller/writer.go
@@ -27,20 +27,26 @@
 
 // run follows the session to its end, or until the caller hangs up.
 func (t *writer) run() {
-	offset := 0
+	offset, round := 0, 0
 	t.response.Header().Set(HeaderVM, t.server.vm)
 	t.response.Header().Set(HeaderKey, t.key)
 	for {
-		frames, end, changed := t.session.next(offset)
+		frames, end, changed, current := t.session.next(offset, round)
+		if current != round {
+			offset, round = 0, current
+			t.text.Reset()
+		}
+		if !t.claim(offset+len(frames), round) {
+			continue
+		}
 		if !t.frames(frames) {
 			t.leave()
 			return
 		}
 		offset += len(frames)
-		t.session.sent(t.sentSoFar(offset))
 		if end != nil && end.kind == endJoined {
 			t.leave()
-			t.session, offset = end.joined, 0
+			t.session, offset, round = end.joined, 0, 0
 			continue
 		}
 		if end != nil {
@@ -57,13 +63,13 @@
 	}
 }
 
-// sentSoFar counts what the caller got: an answer that is not streamed is
-// sent as a whole at its end.
-func (t *writer) sentSoFar(offset int) int {
-	if t.stream {
-		return offset
+// claim counts frames as sent to a streaming caller. An answer that is not
+// streamed is sent as a whole at its end.
+func (t *writer) claim(count, round int) bool {
+	if !t.stream {
+		count = 0
 	}
-	return 0
+	return t.session.claim(count, round)
 }
 
 // leave detaches from the session and tells the core when nobody is left.
