Refuse later: a smaller margin for the endpoint's own time

Tried first and reverted: letting urgent requests exceed the window by one, since engines honour priority. Change: the margin is mean plus one deviation of the first byte, not two.

--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -51,4 +51,4 @@
 }
 
 // bound returns a time that most requests stay within.
-func (l *latency) bound() time.Duration { return l.mean + 2*l.deviation }
+func (l *latency) bound() time.Duration { return l.mean + l.deviation }
