--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,6 +19,7 @@
 }
 
 var tables = []table{
+	{"grants", "sizes of grants: false refusals, outages, deaths", experiment.PrintGrants},
 	{"ranks", "floods against ranks with floors, strict ranks and first-in-first-out", experiment.PrintRanks},
 	{"fairness", "small accounts beside large ones", experiment.PrintFairness},
 	{"crash", "requests that crash endpoints", experiment.PrintCrash},
--- a/core/budget/recall.go
+++ b/core/budget/recall.go
@@ -115,7 +115,7 @@
 		return
 	}
 	free := max(g.Free(), 0)
-	if m.OfferOnly || !w.TableUp || free == 0 || len(g.Waiting) > 0 {
+	if m.OfferOnly || !w.TableUp || free == 0 || s.usesFree(g) {
 		w.Send(from, entity.RecallReply{Budget: m.Budget, Free: free, Reserved: g.Reserved})
 		return
 	}
@@ -124,6 +124,12 @@
 	g.AskedBy = append(g.AskedBy, from)
 }
 
+// usesFree tells whether a waiting request fits in what is free. Free tokens
+// that fit nobody's request here may together fit one elsewhere.
+func (s *System) usesFree(g *entity.Grant) bool {
+	return len(g.Waiting) > 0 && smallest(g.Waiting) <= g.Free()
+}
+
 // ReturnDone tells the peers that asked what came back to the table.
 func ReturnDone(w *world.World, g *entity.Grant, returned int64) {
 	for _, vm := range g.AskedBy {
--- a/core/world/policy.go
+++ b/core/world/policy.go
@@ -53,7 +53,7 @@
 		FlushEvery:       2 * time.Second,
 		ResendMin:        100 * time.Millisecond,
 		ResendMax:        2 * time.Second,
-		GrantHorizon:     60 * time.Second,
+		GrantHorizon:     120 * time.Second,
 		GrantShare:       0.125,
 		GrantFloor:       2_000,
 		IdleReturn:       10 * time.Minute,
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -35,6 +35,9 @@
 	Options []core.Option
 	Counts  entity.Table[string, int64] // counters of all routers
 
+	// OnRefusal is told of each refusal.
+	OnRefusal func(n *Node, r *Result)
+
 	queue   events
 	serial  int64
 	jobs    entity.Table[jobID, *job]
@@ -336,7 +339,12 @@
 func (n *Node) answer(command outbox.Command) {
 	switch c := command.(type) {
 	case outbox.Refuse:
-		n.resolve(c.Request, func(r *Result) { r.Reason, r.NotRun = c.Refusal.Reason, c.Refusal.NotRun() })
+		n.resolve(c.Request, func(r *Result) {
+			r.Reason, r.NotRun = c.Refusal.Reason, c.Refusal.NotRun()
+			if n.fleet.OnRefusal != nil {
+				n.fleet.OnRefusal(n, r)
+			}
+		})
 	case outbox.Finish:
 		n.resolve(c.Request, func(r *Result) { r.Answered, r.Billed = true, c.Billed })
 	case outbox.Replay:
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -60,7 +60,7 @@
 		text("key", "this VM's private key: PEM, or a file that holds it", ""),
 		text("bootstrap-hash", "SHA-256 (hex) of the secret that may create the first operator's key", ""),
 		span("flush-every", "time between writes of charges to the table", 2*time.Second),
-		span("grant-horizon", "spending that a grant should last for while the table is out", time.Minute),
+		span("grant-horizon", "spending that a grant should last for while the table is out", 2*time.Minute),
 		span("list-lag", "longest lag of the platform's list of VMs", 10*time.Second),
 		&cli.IntFlag{Name: "verbosity", Usage: "0 for events, 1 and 2 for more", Sources: cli.EnvVars(variable("verbosity"))},
 	}
