Drop kept charges of closed origins, blame only endpoints in health

Cause: a router that kept charges for a peer whose last word was lost never ended its shutdown; requests that probed an endpoint which was still dead were quarantined; the wait was estimated from light traffic, and refused too early. Change: origins that are not heard of are looked up in the table; a death counts only on an endpoint in health; rates are taken while work waits, and a wait twice as long as the target allows is refused early, not one that barely misses it.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,15 @@
 # generate needs protoc, Debian's protobuf-compiler; its output is committed.
 generate: tools
 	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=hawthornspar io/wire/wire.proto
+
+# bench measures real processes, experiment compares policies on virtual time.
+bench: build
+	./bench/path.sh
+	./bench/idle.sh
+
+experiment: build
+	$(BIN)/experiment grants
+	$(BIN)/experiment ranks
+	$(BIN)/experiment fairness
+	$(BIN)/experiment crash
+	$(BIN)/experiment affinity
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -23,6 +23,7 @@
 	{"ranks", "floods against ranks with floors, strict ranks and first-in-first-out", experiment.PrintRanks},
 	{"fairness", "small accounts beside large ones", experiment.PrintFairness},
 	{"crash", "requests that crash endpoints", experiment.PrintCrash},
+	{"slopes", "how one router's cost grows with each quantity", experiment.PrintSlopes},
 	{"affinity", "choice of endpoint on prefix caches", experiment.PrintAffinity},
 }
 
--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"hawthornspar/standin/load"
+	"hawthornspar/timer"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name: "load", Usage: "send streamed chat completions and measure them",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "path", Usage: "NAME=URL; requests go to each path in turn", Required: true},
+			&cli.StringFlag{Name: "secret", Usage: "the caller's secret"},
+			&cli.FloatFlag{Name: "rate", Value: 10, Usage: "requests a second to each path"},
+			&cli.IntFlag{Name: "closed", Usage: "so many requests at a time instead of a rate"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "duration"},
+			&cli.IntFlag{Name: "answer", Value: 20, Usage: "tokens of an answer"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			o := load.Options{Rate: c.Float("rate"), Duration: c.Duration("for"), Answer: c.Int("answer"), Closed: c.Int("closed")}
+			for _, p := range c.StringSlice("path") {
+				name, url, _ := strings.Cut(p, "=")
+				o.Paths = append(o.Paths, load.Path{Name: name, URL: url, Secret: c.String("secret")})
+			}
+			printMeasures(o, load.New(o, timer.Real{}).Run(ctx))
+			return nil
+		},
+	}
+}
+
+func printMeasures(o load.Options, measures []*load.Measure) {
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "path\trate/s\tsent\tfailed\tdone/s\tfirst p50 ms\tfirst p95 ms\tgap p50 ms\tgap p95 ms")
+	for _, m := range measures {
+		fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\n", m.Path.Name, o.Rate, m.Sent, m.Failed,
+			float64(m.Sent-m.Failed)/o.Duration.Seconds(),
+			load.Millis(m.First, 50), load.Millis(m.First, 95), load.Millis(m.Gap, 50), load.Millis(m.Gap, 95))
+	}
+	t.Flush()
+}
+
+func callCommand() *cli.Command {
+	return &cli.Command{
+		Name: "call", Usage: "URL: send one HTTP request and print the answer as it comes",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "header", Usage: "NAME: VALUE"},
+			&cli.StringFlag{Name: "data", Usage: "body; makes the request a POST"},
+			&cli.DurationFlag{Name: "wait", Usage: "repeat for so long until the status is 200"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			end := time.Now().Add(c.Duration("wait"))
+			err := callOnce(ctx, c)
+			for err != nil && time.Now().Before(end) {
+				time.Sleep(50 * time.Millisecond)
+				err = callOnce(ctx, c)
+			}
+			return err
+		},
+	}
+}
+
+func callOnce(ctx context.Context, c *cli.Command) error {
+	method, body := http.MethodGet, ""
+	if c.IsSet("data") {
+		method, body = http.MethodPost, c.String("data")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.Args().First(), strings.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	for _, h := range c.StringSlice("header") {
+		name, value, _ := strings.Cut(h, ":")
+		r.Header.Set(name, strings.TrimSpace(value))
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "call")
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(os.Stdout, response.Body)
+	if response.StatusCode != http.StatusOK && c.Duration("wait") > 0 {
+		return &load.StatusError{Status: response.StatusCode}
+	}
+	return errors.Wrap(err, "answer")
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,7 +25,7 @@
 		Name:  "standin",
 		Usage: "stand-ins for the platform, endpoints and links",
 		Commands: []*cli.Command{
-			platformCommand(), engineCommand(), runnerCommand(), linkCommand(),
+			platformCommand(), engineCommand(), runnerCommand(), linkCommand(), loadCommand(), callCommand(),
 		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -87,10 +87,10 @@
 	return !e.Spec.Leaving && !w.Now.Before(e.DownUntil) && e.InFlight < int(e.Window)
 }
 
-// mayTry tells whether a suspect may run on the endpoint: alone among
-// suspects, on the VM that owns trials there.
+// mayTry tells whether a suspect may run on the endpoint: one in health, alone
+// among suspects, on the VM that owns trials there.
 func mayTry(w *world.World, r *entity.Request, e *entity.Endpoint) bool {
-	if e.Suspects > 0 {
+	if e.Suspects > 0 || e.Failures > 0 {
 		return false
 	}
 	return suspect.Owner(w, e.Spec.Name).Name == w.Self.Name
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	ranks    []*rankQueue // by order
 	slots    entity.Table[int64, *slot]
 	first    entity.Table[string, *latency] // to the first byte, by service
+	backlog  bool                           // work waited at the end of the last tick
 }
 
 // slot is the room that a request takes at an endpoint.
@@ -71,6 +72,7 @@
 		return
 	}
 	s.send(w)
+	s.noteBacklog()
 	for _, r := range w.Take(entity.PhaseRunning) {
 		s.start(w, r)
 	}
@@ -107,7 +109,7 @@
 	r.QueuedAt = w.Now
 	account, _ := w.Config.Accounts.Get(r.Account)
 	q := s.queue(w, r)
-	if wait := q.wait(s.capacity(w, q), r.Account, account.Share, r.Cost); !r.Exposed() && w.Now.Add(wait+s.margin(r)).After(r.Deadline) {
+	if wait := q.wait(s.capacity(w, q), r.Account, account.Share, r.Cost); !r.Exposed() && w.Now.Add(wait/estimateDoubt+s.margin(r)).After(r.Deadline) {
 		w.Refuse(r, entity.ReasonOverloaded, wait)
 		return
 	}
@@ -117,10 +119,17 @@
 	}
 }
 
+// estimateDoubt is by how much an estimated wait may be too long: a request is
+// refused early only if even a wait so much shorter misses its target.
+const estimateDoubt = 2
+
 // capacity estimates the tokens a second that a rank can get: what all ranks
 // are served, less what more urgent ones take and lower ones keep. It is 0
 // while that is not known.
 func (s *System) capacity(w *world.World, q *rankQueue) float64 {
+	if !s.backlog {
+		return 0
+	}
 	var all, above, floors float64
 	for _, other := range s.ranks {
 		served := other.rate.perSecond(w.Now)
@@ -135,6 +144,18 @@
 	return max(q.rate.perSecond(w.Now), all*(1-floors)-above)
 }
 
+// noteBacklog starts the rates anew when work begins to wait. Only what is
+// served while work waits tells what the ranks can get.
+func (s *System) noteBacklog() {
+	waits := slices.ContainsFunc(s.ranks, func(q *rankQueue) bool { return q.waiting > 0 })
+	if waits && !s.backlog {
+		for _, q := range s.ranks {
+			q.rate = rate{}
+		}
+	}
+	s.backlog = waits
+}
+
 // margin is the part of a request's target that the endpoint itself needs.
 func (s *System) margin(r *entity.Request) time.Duration {
 	l, ok := s.first.Get(r.Service)
@@ -291,6 +312,7 @@
 		e.Suspects++
 	}
 	r.Endpoint = e.Spec.Name
+	r.Blamed = e.Failures == 0
 	r.Attempt++
 	s.slots.Put(r.ID, &slot{request: r, endpoint: e, attempt: r.Attempt, suspect: r.SoleSuspect})
 	if r.Repeatable {
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -15,7 +15,7 @@
 	at    time.Time
 }
 
-// add counts tokens at a time.
+// add counts tokens at a time. The first call starts the measurement.
 func (r *rate) add(now time.Time, tokens int64) {
 	if r.at.IsZero() {
 		r.from, r.at = now, now
--- a/core/entity/request.go
+++ b/core/entity/request.go
@@ -70,6 +70,7 @@
 	WatchAt      time.Time // next look at another VM's claim
 	QueuedAt     time.Time
 	StartedAt    time.Time
+	Blamed       bool // its endpoint was in health when it started there
 	SoleSuspect  bool // runs apart, since endpoints died while running it
 
 	exposures []int // attempts that an endpoint may have run
--- a/core/ledger/copies.go
+++ b/core/ledger/copies.go
@@ -22,6 +22,8 @@
 	waiting  entity.Table[int64, *copying] // by charge sequence
 	flushed  int64
 	tellAt   time.Time
+	lookAt   time.Time
+	reading  int64 // of all VMs' rows
 	told     int64
 	used     entity.Table[string, entity.VM] // peers that hold copies of ours
 }
@@ -113,6 +115,9 @@
 
 // Handle implements world.System.
 func (c *Copies) Handle(w *world.World, event inbox.Event) {
+	if r, ok := event.(inbox.ReadDone); ok && c.reading != 0 && r.ID == c.reading {
+		c.lookedUp(r)
+	}
 	e, ok := event.(inbox.PeerSaid)
 	if !ok {
 		return
@@ -145,6 +150,7 @@
 	}
 	ack := entity.CopyAck{}
 	for _, charge := range m.Charges {
+		charge.Origin = from.Incarnation
 		charges.Put(charge.Sequence, charge)
 		ack.Sequences = append(ack.Sequences, charge.Sequence)
 	}
@@ -198,11 +204,16 @@
 		}
 	}
 	c.tell(w)
+	c.lookUp(w)
 }
 
 func (c *Copies) send(w *world.World) {
+	outgoing := slices.Clone(c.outgoing)
+	for i := range outgoing {
+		outgoing[i].Origin = "" // the channel tells it
+	}
 	for _, p := range c.keepers(w) {
-		w.Send(p.VM, entity.CopyCharges{Charges: c.outgoing})
+		w.Send(p.VM, entity.CopyCharges{Charges: outgoing})
 		c.used.Put(p.Name, p.VM)
 	}
 	c.outgoing = nil
@@ -210,7 +221,7 @@
 
 // tell lets peers forget what is in the ledger.
 func (c *Copies) tell(w *world.World) {
-	if c.told == c.flushed || w.Now.Before(c.tellAt) {
+	if c.told == c.flushed || w.Now.Before(c.tellAt) && !w.Leaving {
 		return
 	}
 	c.told = c.flushed
--- a/core/settle/settle.go
+++ b/core/settle/settle.go
@@ -57,11 +57,15 @@
 	}
 }
 
+// fingerprintDigits is how much of a fingerprint tells apart requests that
+// share a key. A budget belongs to one account, so that the key need not name it.
+const fingerprintDigits = 8
+
 // Owe fixes what a request owes. It is never more than was reserved.
 func Owe(r *entity.Request, tokens int64) {
 	r.Charge = entity.Charge{
 		Budget:     r.Budget,
-		RequestKey: r.Account + "/" + r.RequestKey + "/" + r.Fingerprint,
+		RequestKey: r.RequestKey + "/" + r.Fingerprint[:min(len(r.Fingerprint), fingerprintDigits)],
 		Tokens:     min(max(tokens, 0), r.Reserve),
 		Rank:       r.Rank,
 		Service:    r.Service,
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -84,7 +84,9 @@
 	if !ok || r.Attempt != e.Attempt {
 		return
 	}
-	if e.Outcome == inbox.OutcomeBroken && e.Died {
+	// An endpoint that was not yet found in health again may have been dead all
+	// along, whatever it was sent.
+	if e.Outcome == inbox.OutcomeBroken && e.Died && r.Blamed {
 		s.died(w, r)
 	}
 	if e.Outcome == inbox.OutcomeAnswered && r.SoleSuspect {
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -182,7 +182,7 @@
 		s.RequestKey = "k" + strconv.FormatInt(f.serial, 10)
 	}
 	result.Key = s.RequestKey
-	result.Charged = entity.ChargeKey{Budget: s.KeyHash + "/main", RequestKey: s.KeyHash + "/" + s.RequestKey + "/" + s.Fingerprint}
+	result.Charged = entity.ChargeKey{Budget: s.KeyHash + "/main", RequestKey: s.RequestKey + "/" + s.Fingerprint[:min(len(s.Fingerprint), 8)]}
 	f.jobs.Put(jobID{n.incarnation, s.ID}, &job{result: result, node: n, body: body})
 	n.submissions.Put(s.ID, s)
 	n.post(inbox.Submitted{Submission: s})
@@ -206,6 +206,7 @@
 	submissions entity.Table[int64, entity.Submission]
 	Fenced      bool
 	Stopped     bool
+	meter       *meter
 }
 
 // Start begins a new incarnation with an empty memory.
@@ -278,11 +279,27 @@
 	}
 	events := n.pending
 	n.pending = nil
-	for _, c := range n.Router.Step(n.fleet.Now, events) {
+	for _, c := range n.decide(events) {
 		n.execute(c)
 	}
 }
 
+// decide steps the core, and measures it if asked to.
+func (n *Node) decide(events []inbox.Event) []outbox.Command {
+	if n.meter == nil {
+		return n.Router.Step(n.fleet.Now, events)
+	}
+	start := n.meter.clock.Now()
+	commands := n.Router.Step(n.fleet.Now, events)
+	n.meter.spent += n.meter.clock.Now().Sub(start)
+	for _, c := range commands {
+		if s, ok := c.(outbox.Send); ok {
+			n.meter.message(s)
+		}
+	}
+	return commands
+}
+
 // later posts an event to this incarnation after a delay.
 func (n *Node) later(d time.Duration, e inbox.Event) {
 	incarnation := n.incarnation
--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -151,7 +151,8 @@
 }
 
 // resume asks the same engine for the run's events from where they broke off.
-// An engine that refuses connections, or does not know the run, has died.
+// An engine that refuses connections, does not know the run, or stays out of
+// reach counts as dead.
 func (t *attempt) resume(watch *time.Timer) bool {
 	until := time.Now().Add(resumeFor)
 	for time.Now().Before(until) && t.ctx.Err() == nil {
@@ -163,8 +164,8 @@
 		}
 		response, err := t.client.stream.Do(r)
 		if err != nil {
-			t.died = t.died || errors.Is(err, syscall.ECONNREFUSED)
-			if t.died && t.frames == 0 {
+			t.died = true
+			if errors.Is(err, syscall.ECONNREFUSED) && t.frames == 0 {
 				return false
 			}
 			time.Sleep(resumePause)
--- a/io/peer/channel.go
+++ b/io/peer/channel.go
@@ -32,16 +32,17 @@
 
 // channel sends messages to one address, on a connection that it opens at need.
 type channel struct {
-	node   *Node
-	to     entity.VM
-	mu     sync.Mutex
-	queue  []entity.Message
-	wake   chan struct{}
-	ctx    context.Context
-	cancel context.CancelFunc
-	conn   *quic.Conn
-	stream *quic.SendStream
-	number int64
+	node    *Node
+	to      entity.VM
+	mu      sync.Mutex
+	queue   []entity.Message
+	wake    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	conn    *quic.Conn
+	stream  *quic.SendStream
+	number  int64
+	greeted bool // the stream's first envelope named this VM
 }
 
 func newChannel(n *Node, to entity.VM) *channel {
@@ -116,9 +117,9 @@
 	}
 	c.number++
 	self := c.node.self
-	e := &wire.Envelope{
-		From: self.Name, Incarnation: self.Incarnation,
-		Address: self.Address, Domain: self.Domain, Sequence: c.number,
+	e := &wire.Envelope{Sequence: c.number}
+	if !c.greeted {
+		e.From, e.Incarnation, e.Address, e.Domain = self.Name, self.Incarnation, self.Address, self.Domain
 	}
 	for _, m := range messages {
 		e.Messages = append(e.Messages, protobuf.MessageToWire(m))
@@ -130,6 +131,7 @@
 	c.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := writeFrame(c.stream, raw)
 	c.node.sent.Add(int64(n))
+	c.greeted = err == nil
 	return err
 }
 
@@ -156,7 +158,7 @@
 	if c.conn != nil {
 		c.conn.CloseWithError(0, "")
 	}
-	c.conn, c.stream = nil, nil
+	c.conn, c.stream, c.greeted = nil, nil, false
 }
 
 func writeFrame(w io.Writer, raw []byte) (int, error) {
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -165,6 +165,7 @@
 	node   *Node
 	stream io.Reader
 	name   string
+	from   entity.VM // as the stream's first envelope says
 }
 
 func (r *reader) run() {
@@ -178,8 +179,11 @@
 			r.node.log.Info("unreadable peer message", "from", r.name, "cause", err.Error())
 			return
 		}
-		if e.From != r.name {
-			r.node.log.Info("peer used another's name", "certificate", r.name, "claimed", e.From)
+		if e.From != "" {
+			r.from = entity.VM{Name: e.From, Incarnation: e.Incarnation, Address: e.Address, Domain: e.Domain}
+		}
+		if r.from.Name != r.name {
+			r.node.log.Info("peer used another's name", "certificate", r.name, "claimed", r.from.Name)
 			return
 		}
 		r.deliver(&e)
@@ -187,10 +191,9 @@
 }
 
 func (r *reader) deliver(e *wire.Envelope) {
-	from := entity.VM{Name: e.From, Incarnation: e.Incarnation, Address: e.Address, Domain: e.Domain}
 	for _, m := range e.Messages {
 		if message := protobuf.MessageFromWire(m); message != nil {
-			r.node.post(inbox.PeerSaid{From: from, Message: message})
+			r.node.post(inbox.PeerSaid{From: r.from, Message: message})
 		}
 	}
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -5,8 +5,11 @@
 	"encoding/hex"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -50,6 +53,10 @@
 	"runner":   command(cmdRunner),   // runner NAME JSON: change its behaviour
 	"listed":   command(cmdListed),   // listed ROUTER...: the platform's list
 	"operate":  command(cmdOperate),  // operate ARGS...: the operators' client
+	"compete":  command(cmdCompete),  // compete ROUTER ARGS... -- ROUTER ARGS...: two operators at once, one of whom wins
+	"prepaid":  command(cmdPrepaid),  // prepaid BUDGET N
+	"runsat":   command(cmdRunsAt),   // runsat ENDPOINT REF N
+	"lost":     command(cmdLost),     // lost MAX: so many engines ended at most
 	"settled":  command(cmdSettled),  // settled: the configuration is the same on all routers
 	"row":      command(cmdRow),      // row PREFIX N: so many rows
 	"counter":  command(cmdCounter),  // counter ROUTER TEXT: a line of /metrics contains it
@@ -350,6 +357,66 @@
 	return err
 }
 
+// cmdCompete runs two operators' commands at one moment, each at its router.
+// One must be accepted and the other be told of a conflict.
+func cmdCompete(f *fleet, args []string) error {
+	i := slices.Index(args, "--")
+	sides := [][]string{args[:i], args[i+1:]}
+	codes := make([]int, 2)
+	var both sync.WaitGroup
+	for k, side := range sides {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			codes[k] = f.cliAt(side[0], side[1:])
+		}()
+	}
+	both.Wait()
+	slices.Sort(codes)
+	if codes[0] != 0 || codes[1] != 3 {
+		return errors.Errorf("exit codes %v, not one 0 and one 3", codes)
+	}
+	return nil
+}
+
+func (f *fleet) cliAt(router string, args []string) int {
+	cmd := exec.Command(filepath.Join(f.bin, "hawthornspar"),
+		append([]string{"--entry", f.router(router).operator, "--secret", f.secret}, args...)...)
+	cmd.Run()
+	return cmd.ProcessState.ExitCode()
+}
+
+func cmdPrepaid(f *fleet, args []string) error {
+	row, _, err := f.budget(args[0])
+	if err == nil && row.Prepaid != int64(number(args[1], -1)) {
+		return errors.Errorf("%s: %d prepaid, not %s", args[0], row.Prepaid, args[1])
+	}
+	return err
+}
+
+func cmdRunsAt(f *fleet, args []string) error {
+	n, err := f.place(args[0]).runsOf(args[1])
+	if err == nil && n != number(args[2], -1) {
+		return errors.Errorf("%s ran %s %d times, not %s", args[0], args[1], n, args[2])
+	}
+	return err
+}
+
+func cmdLost(f *fleet, args []string) error {
+	lost := 0
+	for _, e := range f.engines {
+		select {
+		case <-e.process.exited:
+			lost++
+		default:
+		}
+	}
+	if lost > number(args[0], 0) {
+		return errors.Errorf("%d engines are lost, more than %s", lost, args[0])
+	}
+	return nil
+}
+
 func cmdSettled(f *fleet, _ []string) error { return f.settled() }
 
 func cmdRow(f *fleet, args []string) error {
--- a/scenarios/judge_test.go
+++ b/scenarios/judge_test.go
@@ -153,7 +153,7 @@
 	told := map[string]*answered{}
 	for _, s := range f.sends {
 		s.mu.Lock()
-		id := s.account + "/main " + s.account + "/" + s.key
+		id := s.account + "/main " + s.key
 		if told[id] == nil {
 			told[id] = &answered{amounts: map[string]int64{}}
 		}
@@ -188,19 +188,32 @@
 	Orders map[string]int `json:"orders"`
 }
 
+// runsOf tells how often one endpoint ran a reference. An endpoint that ended
+// tells nothing.
+func (p *place) runsOf(ref string) (int, error) {
+	select {
+	case <-p.process.exited:
+		return 0, nil
+	default:
+	}
+	out, err := get("http://" + p.process.args[2] + "/admin/counts")
+	if err != nil {
+		return 0, errors.Wrap(err, p.name)
+	}
+	var c counts
+	err = json.Unmarshal([]byte(out), &c)
+	return c.Runs[ref] + c.Orders[ref], err
+}
+
 // runsOf adds up how often endpoints ran a reference.
 func (f *fleet) runsOf(ref string) (int, error) {
 	total := 0
 	for _, p := range append(append([]*place{}, f.engines...), f.runners...) {
-		out, err := get("http://" + p.process.args[2] + "/admin/counts")
+		n, err := p.runsOf(ref)
 		if err != nil {
-			return 0, errors.Wrap(err, p.name)
-		}
-		var c counts
-		if err := json.Unmarshal([]byte(out), &c); err != nil {
 			return 0, err
 		}
-		total += c.Runs[ref] + c.Orders[ref]
+		total += n
 	}
 	return total, nil
 }
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -80,10 +80,21 @@
 }
 
 func (h *half) run() {
-	n, _ := io.Copy(h.to, h.from)
+	io.Copy(counted{h.to, h.link}, h.from)
 	h.to.Close()
 	h.from.Close()
-	h.link.count(int(n))
+}
+
+// counted counts what is written.
+type counted struct {
+	io.Writer
+	link *Link
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Writer.Write(p)
+	c.link.count(n)
+	return n, err
 }
 
 func (l *Link) add(c net.Conn) bool {
