--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,8 +19,14 @@
 	suspects Suspects
 	ranks    []*rankQueue // by order
 	slots    entity.Table[int64, *slot]
-	first    entity.Table[string, *latency] // to the first byte, by service
-	backlog  bool                           // work waited at the end of the last tick
+	first    entity.Table[class, *latency] // to the first byte
+	backlog  bool                          // work waited at the end of the last tick
+}
+
+// class is work whose endpoints take alike to begin: they honour ranks.
+type class struct {
+	service string
+	order   int
 }
 
 // slot is the room that a request takes at an endpoint.
@@ -83,10 +89,13 @@
 	for _, spec := range w.Config.Endpoints.Rows() {
 		e, ok := w.Endpoints.Get(spec.Name)
 		if !ok {
-			e = &entity.Endpoint{Window: firstWindow(w, spec)}
+			e = &entity.Endpoint{}
 			w.Endpoints.Put(spec.Name, e)
 		}
 		e.Spec = spec
+		if e.Completed == 0 && e.InFlight == 0 && e.Failures == 0 {
+			e.Window = firstWindow(w, spec) // more peers may have been heard of
+		}
 	}
 	for _, name := range w.Endpoints.Keys() {
 		if _, ok := w.Config.Endpoints.Get(name); !ok {
@@ -158,7 +167,7 @@
 
 // margin is the part of a request's target that the endpoint itself needs.
 func (s *System) margin(r *entity.Request) time.Duration {
-	l, ok := s.first.Get(r.Service)
+	l, ok := s.first.Get(class{r.Service, r.Order})
 	if !ok {
 		return 0
 	}
@@ -343,10 +352,11 @@
 		return
 	}
 	r.Answering = r.Streamed
-	l, ok := s.first.Get(r.Service)
+	key := class{r.Service, r.Order}
+	l, ok := s.first.Get(key)
 	if !ok {
 		l = &latency{}
-		s.first.Put(r.Service, l)
+		s.first.Put(key, l)
 	}
 	l.add(w.Now.Sub(r.StartedAt))
 }
