--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -4,9 +4,12 @@
 work=$(mktemp -d)
 ids=()
 
+# end_all ends the newest first: routers need the platform to stop gracefully.
 end_all() {
-	local id
-	for id in "${ids[@]}"; do kill "$id" 2>/dev/null && wait "$id" 2>/dev/null || true; done
+	local i
+	for ((i = ${#ids[@]} - 1; i >= 0; i--)); do
+		kill "${ids[i]}" 2>/dev/null && wait "${ids[i]}" 2>/dev/null || true
+	done
 	rm -rf "$work"
 }
 trap end_all EXIT
@@ -20,7 +23,7 @@
 }
 id_of() { eval "echo \$id_$1"; }
 call() { "$bin/standin" call "$@"; }
-ready() { call --wait 10s "$1" >/dev/null || { tail -n 20 "$work"/*.log >&2; exit 1; }; }
+ready() { call --wait 20s "$1" >/dev/null || { tail -n 20 "$work"/*.log >&2; exit 1; }; }
 op() {
 	local entries=() i
 	for i in $(seq "$routers"); do entries+=(--entry "127.0.0.1:$((7100 + i))"); done
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -156,8 +156,8 @@
 func (e *StatusError) Error() string { return http.StatusText(e.Status) }
 
 func (c *call) send() (times, error) {
-	body := fmt.Sprintf(`{"model":"small","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"answer:%d load %d"}]}`,
-		c.load.options.Answer, c.load.options.Answer, c.number)
+	body := fmt.Sprintf(`{"model":"small","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"answer:%d %s %d"}]}`,
+		c.load.options.Answer, c.load.options.Answer, c.measure.Path.Name, c.number)
 	r, err := http.NewRequestWithContext(c.ctx, http.MethodPost, c.measure.Path.URL+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "request")
