--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := $(CURDIR)/.bin
 
-.PHONY: build demo test check tools generate bench experiment
+.PHONY: build demo test check tools generate bench experiment explore
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -37,3 +37,8 @@
 	$(BIN)/experiment fairness
 	$(BIN)/experiment crash
 	$(BIN)/experiment affinity
+
+# explore runs the property tests with other seeds, and fuzzes callers' input.
+explore:
+	$(GO) test ./experiment -count=1 -timeout 1h -rapid.seed=$$(date +%s) -rapid.checks=2000 -rapid.steps=80
+	$(GO) test ./io/caller -run '^$$' -fuzz FuzzParseChat -fuzztime 30s
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -130,7 +130,9 @@
 	if err != nil {
 		return errors.Wrap(err, "link")
 	}
-	go server{func() error { return l.ServeTCP(tcp) }}.run()
-	go server{func() error { return l.ServeUDP(udp) }}.run()
+	streams := server{func() error { return l.ServeTCP(tcp) }}
+	datagrams := server{func() error { return l.ServeUDP(udp) }}
+	go streams.run()
+	go datagrams.run()
 	return serve(admin, l.Handler())
 }
--- /dev/null
+++ b/core/config/suite_test.go
@@ -0,0 +1,13 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestConfig(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "config")
+}
--- a/core/entity/refusal.go
+++ b/core/entity/refusal.go
@@ -28,7 +28,6 @@
 	ReasonAnswerInterrupted  Reason = "answerInterrupted"
 	ReasonRetryBudgetSpent   Reason = "retryBudgetSpent"
 	ReasonEndpointRejected   Reason = "endpointRejected"
-	ReasonDeadlinePassed     Reason = "deadlinePassed"
 	ReasonForwardUnreachable Reason = "forwardUnreachable"
 )
 
--- /dev/null
+++ b/core/ledger/flush_test.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/budget"
+	"hawthornspar/core/entity"
+	"hawthornspar/core/inbox"
+	"hawthornspar/core/outbox"
+	"hawthornspar/core/world"
+)
+
+func newWorld() *world.World {
+	w := &world.World{Now: time.Unix(100, 0), Policy: world.DefaultPolicy(), TableUp: true}
+	w.Self = entity.VM{Name: "r1", Incarnation: "r1.1"}
+	return w
+}
+
+func sent(w *world.World) (outbox.Transact, bool) {
+	for i := len(w.Outbox) - 1; i >= 0; i-- {
+		if t, ok := w.Outbox[i].(outbox.Transact); ok {
+			return t, true
+		}
+	}
+	return outbox.Transact{}, false
+}
+
+var _ = Describe("Writer", func() {
+	var w *world.World
+	var f *Flush
+	var t *Writer
+	var g *entity.Grant
+
+	BeforeEach(func() {
+		w = newWorld()
+		f = NewFlush(NewCopies())
+		t = NewWriter(f)
+		t.row, t.version = entity.VMRow{Name: "r1", Incarnation: "r1.1", Sequence: 4}, 10
+		g = budget.Grant(w, "a/main")
+		budget.Learn(w, g, entity.Row{Version: 7, Document: entity.BudgetRow{Prepaid: 1000}})
+		g.WantDraw, g.Urgent = 300, true
+		t.Tick(w)
+	})
+
+	It("counts a draw once when its row is read anew before the answer", func() {
+		transact, ok := sent(w)
+		Expect(ok).To(BeTrue())
+		// Our own commit, seen by a read that overtakes the answer.
+		budget.Learn(w, g, entity.Row{Version: 11, Document: entity.BudgetRow{Prepaid: 1000, Drawn: 300, Holders: []string{"r1.1"}}})
+		t.Handle(w, inbox.TransactDone{ID: transact.ID, Outcome: inbox.Committed, Version: 11})
+		Expect(g.Row.Drawn).To(Equal(int64(300)))
+		Expect(g.Free()).To(Equal(int64(300)))
+	})
+
+	It("resends the same transaction after a lost answer, and takes its own row as the answer", func() {
+		first, _ := sent(w)
+		t.Handle(w, inbox.TransactDone{ID: first.ID, Outcome: inbox.Unknown})
+		w.Now = w.Now.Add(time.Second)
+		w.Outbox = nil
+		t.Tick(w)
+		second, ok := sent(w)
+		Expect(ok).To(BeTrue())
+		Expect(second.Puts).To(Equal(first.Puts))
+		own := entity.VMRow{Name: "r1", Incarnation: "r1.1", Sequence: 5}
+		t.Handle(w, inbox.TransactDone{ID: second.ID, Outcome: inbox.Conflicted, Current: []entity.Row{{Key: "vm/r1", Version: 11, Document: own}}})
+		Expect(g.Drawn).To(Equal(int64(300)))
+		Expect(w.Fenced).To(BeFalse())
+	})
+
+	It("is fenced by another incarnation in its row", func() {
+		first, _ := sent(w)
+		other := entity.VMRow{Name: "r1", Incarnation: "r1.2"}
+		t.Handle(w, inbox.TransactDone{ID: first.ID, Outcome: inbox.Conflicted, Current: []entity.Row{{Key: "vm/r1", Version: 12, Document: other}}})
+		Expect(w.Fenced).To(BeTrue())
+		Expect(g.Drawn).To(BeZero())
+	})
+
+	It("draws no more than another VM left", func() {
+		first, _ := sent(w)
+		row := entity.Row{Key: "budget/a/main", Version: 8, Document: entity.BudgetRow{Prepaid: 1000, Drawn: 900}}
+		t.Handle(w, inbox.TransactDone{ID: first.ID, Outcome: inbox.Conflicted, Current: []entity.Row{row}})
+		t.Tick(w)
+		second, _ := sent(w)
+		t.Handle(w, inbox.TransactDone{ID: second.ID, Outcome: inbox.Committed, Version: 13})
+		Expect(g.Drawn).To(Equal(int64(100)))
+	})
+})
+
+var _ = Describe("Copies", func() {
+	It("counts a keeper once, however often its answer arrives", func() {
+		w := newWorld()
+		c := NewCopies()
+		for _, name := range []string{"r2", "r3"} {
+			w.Peers.Put(name, &entity.Peer{VM: entity.VM{Name: name, Domain: name}, HeardAt: w.Now})
+		}
+		r := &entity.Request{Charge: entity.Charge{Sequence: 1, Tokens: 5}}
+		c.Start(w, r)
+		Expect(r.CopiesDue).To(Equal(2))
+		ack := inbox.PeerSaid{From: entity.VM{Name: "r2"}, Message: entity.CopyAck{Sequences: []int64{1}}}
+		c.Handle(w, ack)
+		c.Handle(w, ack)
+		Expect(r.CopiesDue).To(Equal(1))
+	})
+
+	It("refuses further copies of an origin that is being recovered", func() {
+		w := newWorld()
+		c := NewCopies()
+		from := entity.VM{Name: "r2", Incarnation: "r2.1"}
+		c.HeldFor("r2.1")
+		c.Handle(w, inbox.PeerSaid{From: from, Message: entity.CopyCharges{Charges: []entity.Charge{{Sequence: 1}}}})
+		Expect(c.Held()).To(BeZero())
+		Expect(w.Outbox).To(Equal([]outbox.Command{outbox.Send{To: from, Message: entity.CopyAck{Refused: true}}}))
+	})
+})
--- a/core/recovery/recovery.go
+++ b/core/recovery/recovery.go
@@ -4,12 +4,10 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
-	"hawthornspar/core/membership"
 	"hawthornspar/core/outbox"
 	"hawthornspar/core/world"
 )
@@ -51,29 +49,6 @@
 	readRemoved
 )
 
-// job is the recovery of one incarnation.
-type job struct {
-	incarnation string
-	stage       stage
-	nextAt      time.Time
-	pending     []string // VM names that have not answered
-	asked       entity.Table[string, string]
-	charges     entity.Table[entity.ChargeKey, entity.Charge]
-	grants      []entity.GrantRow
-	budgets     entity.Table[string, entity.Row]
-	batch       int64
-}
-
-type stage int
-
-const (
-	stageListing stage = iota
-	stageAsking
-	stageGrants
-	stageBudgets
-	stageWriting
-)
-
 // step is the composed transaction.
 type step struct {
 	kind   stepKind
@@ -238,37 +213,6 @@
 	}
 }
 
-func (j *job) grantsRead(rows []entity.Row) {
-	j.grants = nil
-	for _, row := range rows {
-		if grant, ok := row.Document.(entity.GrantRow); ok {
-			j.grants = append(j.grants, grant)
-		}
-	}
-	j.stage = stageBudgets
-	j.nextAt = time.Time{}
-	if len(j.grants) == 0 {
-		j.stage = stageWriting
-	}
-}
-
-func (j *job) part() []entity.GrantRow { return j.grants[:min(len(j.grants), maxBudgetsPerStep)] }
-
-func (j *job) budgetKeys() []string {
-	var keys []string
-	for _, g := range j.part() {
-		keys = append(keys, entity.BudgetKey(g.Budget))
-	}
-	return keys
-}
-
-func (j *job) budgetsRead(rows []entity.Row) {
-	for _, row := range rows {
-		j.budgets.Put(row.Key, row)
-	}
-	j.stage = stageWriting
-}
-
 // Compose implements ledger.Part.
 func (s *System) Compose(w *world.World) ([]entity.Check, []entity.Put) {
 	if s.adopting {
@@ -310,21 +254,6 @@
 	return checks, puts
 }
 
-// owed returns the kept charges of a grant that its row does not include, and
-// their sum. Each was reserved by the dead incarnation, so that they fit in
-// what is unspent.
-func (j *job) owed(g entity.GrantRow) (int64, []entity.Charge) {
-	var total int64
-	var charges []entity.Charge
-	for _, c := range j.charges.Rows() {
-		if c.Budget == g.Budget && c.Sequence > g.Sequence {
-			total += c.Tokens
-			charges = append(charges, c)
-		}
-	}
-	return total, charges
-}
-
 func (s *System) composeFinish(w *world.World, j *job) ([]entity.Check, []entity.Put) {
 	s.composed = step{kind: stepFinish}
 	row := s.registry.Row()
@@ -332,23 +261,6 @@
 	return nil, []entity.Put{{Key: entity.VMKey(w.Self.Name), Document: row}}
 }
 
-// composeAdopt closes a removed VM's row, which fences it, and takes over
-// what it left to recover.
-func (s *System) composeAdopt(w *world.World) ([]entity.Check, []entity.Put) {
-	s.composed = step{kind: stepAdopt}
-	dead, _ := s.adopt.Document.(entity.VMRow)
-	own := s.registry.Row()
-	own.Unrecovered = append(slices.Clone(own.Unrecovered), dead.Unrecovered...)
-	own.Unrecovered = append(own.Unrecovered, dead.Incarnation)
-	dead.Closed, dead.Unrecovered = true, nil
-	checks := []entity.Check{{Key: s.adopt.Key, Version: s.adopt.Version}}
-	puts := []entity.Put{
-		{Key: s.adopt.Key, Document: dead},
-		{Key: entity.VMKey(w.Self.Name), Document: own},
-	}
-	return checks, puts
-}
-
 // Committed implements ledger.Part.
 func (s *System) Committed(w *world.World, _ int64) {
 	switch s.composed.kind {
@@ -395,43 +307,3 @@
 	}
 	s.composed = step{}
 }
-
-// seekRemoved looks for a VM that the platform removed. The removed VM's
-// nearest live peer adopts it; others would only conflict.
-func (s *System) seekRemoved(w *world.World) {
-	if s.adopting || w.Now.Before(s.adoptAt) {
-		return
-	}
-	s.adoptAt = w.Now.Add(w.Policy.ListEvery)
-	for _, p := range w.Peers.Rows() {
-		if membership.Gone(w, p) && w.Now.Sub(p.AbsentSince) > w.Policy.ListLag+s.turn(w, p) {
-			s.read(w, readRemoved, []string{entity.VMKey(p.Name)}, nil)
-			return
-		}
-	}
-}
-
-// turn delays this VM behind those that are nearer to the removed one.
-func (s *System) turn(w *world.World, p *entity.Peer) time.Duration {
-	own := membership.Distance(p.Name, w.Self.Name)
-	before := 0
-	for _, q := range w.Heard() {
-		if membership.Distance(p.Name, q.Name) < own {
-			before++
-		}
-	}
-	return time.Duration(before) * w.Policy.ListEvery
-}
-
-func (s *System) removedRead(w *world.World, e inbox.ReadDone) {
-	if !e.OK || len(e.Rows) != 1 {
-		return
-	}
-	row := e.Rows[0]
-	vm, ok := row.Document.(entity.VMRow)
-	if !ok || vm.Closed {
-		w.Peers.Delete(strings.TrimPrefix(row.Key, entity.VMPrefix))
-		return
-	}
-	s.adopt, s.adopting = row, true
-}
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -25,12 +25,11 @@
 	Peak      int
 	Lethal    entity.Table[string, bool] // fingerprints that crash it
 
-	fleet    *Fleet
-	down     bool
-	running  []*work
-	waiting  []*work
-	cache    []uint64
-	firstAll time.Duration
+	fleet   *Fleet
+	down    bool
+	running []*work
+	waiting []*work
+	cache   []uint64
 }
 
 // work is an attempt at an engine.
--- a/experiment/invariants_test.go
+++ b/experiment/invariants_test.go
@@ -31,9 +31,8 @@
 // trial is one random run against the invariants.
 type trial struct {
 	*Fleet
-	t      *rapid.T
-	keys   int
-	labels []string
+	t    *rapid.T
+	keys int
 }
 
 func newTrial(t *rapid.T, routers int) *trial {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -160,7 +160,8 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 	}
 	d.servers = append(d.servers, server)
-	go (&serving{daemon: d, server: server, listener: listener}).run()
+	s := &serving{daemon: d, server: server, listener: listener}
+	go s.run()
 	return nil
 }
 
--- a/io/daemon/loop.go
+++ b/io/daemon/loop.go
@@ -97,9 +97,10 @@
 func (d *Daemon) start(c outbox.StartAttempt) {
 	session := d.callers.Session(c.Request)
 	if session == nil {
-		go (&ended{daemon: d, event: inbox.AttemptEnded{
+		e := &ended{daemon: d, event: inbox.AttemptEnded{
 			Request: c.Request, Attempt: c.Attempt, Endpoint: c.Endpoint, Outcome: inbox.OutcomeNeverSent,
-		}}).run()
+		}}
+		go e.run()
 		return
 	}
 	d.endpoints.Start(c, session)
--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -85,7 +85,8 @@
 // ended has the engine stop a run that nobody will read.
 func (t *attempt) ended(outcome inbox.Outcome) inbox.Outcome {
 	if t.sent.Load() && outcome != inbox.OutcomeNeverSent {
-		go (&cancelCall{t}).run()
+		c := &cancelCall{t}
+		go c.run()
 	}
 	return outcome
 }
--- a/io/entry/query/language.go
+++ b/io/entry/query/language.go
@@ -36,10 +36,10 @@
 
 // Condition compares a column with a value.
 type Condition struct {
-	Position lexer.Position `parser:""`
-	Column   string         `parser:"@Word"`
-	Operator string         `parser:"@Operator"`
-	Value    string         `parser:"@( Word | Number | Text )"`
+	Pos      lexer.Position
+	Column   string `parser:"@Word"`
+	Operator string `parser:"@Operator"`
+	Value    string `parser:"@( Word | Number | Text )"`
 }
 
 // Command is a parsed command.
--- a/io/entry/query/relation.go
+++ b/io/entry/query/relation.go
@@ -93,7 +93,7 @@
 }
 
 func (r *Relation) filter(c Condition) error {
-	i, err := r.column(c.Column, c.Position.Column)
+	i, err := r.column(c.Column, c.Pos.Column)
 	if err != nil {
 		return err
 	}
--- a/io/operator/report.go
+++ b/io/operator/report.go
@@ -52,7 +52,8 @@
 	all := FleetReport{VMs: []entity.Report{own}, Missing: []string{}}
 	answers := make(chan *peerCall, len(own.Peers))
 	for _, p := range own.Peers {
-		go (&peerCall{server: s, ctx: ctx, peer: p, answers: answers}).run()
+		c := &peerCall{server: s, ctx: ctx, peer: p, answers: answers}
+		go c.run()
 	}
 	for range own.Peers {
 		c := <-answers
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -102,10 +102,12 @@
 			return
 		}
 		if conn.ConnectionState().TLS.NegotiatedProtocol == messageProtocol {
-			go (&receiver{node: n, conn: conn}).run()
+			r := &receiver{node: n, conn: conn}
+			go r.run()
 			continue
 		}
-		go (&webConn{node: n, conn: conn}).run()
+		c := &webConn{node: n, conn: conn}
+		go c.run()
 	}
 }
 
@@ -152,7 +154,8 @@
 		if err != nil {
 			return
 		}
-		go (&reader{node: r.node, stream: stream, name: commonName(r.conn)}).run()
+		d := &reader{node: r.node, stream: stream, name: commonName(r.conn)}
+		go d.run()
 	}
 }
 
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -46,13 +46,22 @@
 func (e *StatusError) Error() string { return "platform answered " + http.StatusText(e.Status) }
 
 // Transact starts a transaction.
-func (c *Client) Transact(t outbox.Transact) { go (&transactCall{client: c, transact: t}).run() }
+func (c *Client) Transact(t outbox.Transact) {
+	call := &transactCall{client: c, transact: t}
+	go call.run()
+}
 
 // Read starts a read.
-func (c *Client) Read(r outbox.Read) { go (&readCall{client: c, read: r}).run() }
+func (c *Client) Read(r outbox.Read) {
+	call := &readCall{client: c, read: r}
+	go call.run()
+}
 
 // List starts a request for the list of VMs.
-func (c *Client) List() { go (&listCall{client: c}).run() }
+func (c *Client) List() {
+	call := &listCall{client: c}
+	go call.run()
+}
 
 type transactCall struct {
 	client   *Client
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -3,6 +3,10 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -60,6 +64,7 @@
 	"settled":  command(cmdSettled),  // settled: the configuration is the same on all routers
 	"row":      command(cmdRow),      // row PREFIX N: so many rows
 	"counter":  command(cmdCounter),  // counter ROUTER TEXT: a line of /metrics contains it
+	"raw":      command(cmdRaw),      // raw ROUTER ACCOUNT|nobody PATH STATUS CODE BODY: "@large" is 2 MB, "@half" breaks off
 	"retrying": command(cmdRetrying), // retrying NAME ROUTER...: send again until answered
 }
 
@@ -439,6 +444,46 @@
 	})
 }
 
+// cmdRaw sends a body as it is and checks the status and the error's code.
+func cmdRaw(f *fleet, args []string) error {
+	r := f.router(args[0])
+	body := args[5]
+	switch body {
+	case "@large":
+		body = `{"model":"` + strings.Repeat("x", 2<<20) + `"}`
+	case "@half":
+		return f.halfBody(r, args[2])
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.caller+args[2], strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+f.keys[args[1]])
+	response, err := plain.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	raw, _ := io.ReadAll(response.Body)
+	var a answerBody
+	json.Unmarshal(raw, &a)
+	if itoa(response.StatusCode) != args[3] || a.Error.Code != args[4] || !a.Error.NotRun {
+		return errors.Errorf("status %d: %s", response.StatusCode, raw)
+	}
+	return nil
+}
+
+// halfBody sends less than was announced and goes away.
+func (f *fleet) halfBody(r *router, path string) error {
+	conn, err := net.Dial("tcp", r.caller)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{")
+	return err
+}
+
 // cmdRetrying repeats a request at the routers in turn, as a caller would,
 // until it is answered or told that the outcome is unknown.
 func cmdRetrying(f *fleet, args []string) error {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -11,11 +11,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"hawthornspar/timer"
 )
 
 // Link forwards what arrives at its own address to a target.
 type Link struct {
 	target string
+	clock  timer.Service
 	mu     sync.Mutex
 	cut    bool
 	denied map[string]bool // senders' IP numbers that are cut off
@@ -32,7 +35,7 @@
 
 // New returns a link to target, an IP:port.
 func New(target string) *Link {
-	return &Link{target: target, denied: map[string]bool{}, conns: map[net.Conn]bool{}, flows: map[string]*net.UDPConn{}}
+	return &Link{target: target, clock: timer.Real{}, denied: map[string]bool{}, conns: map[net.Conn]bool{}, flows: map[string]*net.UDPConn{}}
 }
 
 // ServeTCP accepts connections until the listener closes.
@@ -42,7 +45,8 @@
 		if err != nil {
 			return err
 		}
-		go (&pipe{link: l, client: conn}).run()
+		p := &pipe{link: l, client: conn}
+		go p.run()
 	}
 }
 
@@ -170,7 +174,8 @@
 		return nil
 	}
 	l.flows[from.String()] = flow
-	go (&answers{link: l, socket: socket, flow: flow, to: from}).run()
+	a := &answers{link: l, socket: socket, flow: flow, to: from}
+	go a.run()
 	return flow
 }
 
@@ -189,7 +194,9 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			time.Sleep(refusedPause)
+			pause := a.link.clock.Subscribe(refusedPause)
+			<-pause.C
+			pause.Stop()
 			continue
 		}
 		if !a.link.drops(a.to) {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -89,7 +89,8 @@
 		<-ticks.C
 		for _, m := range measures {
 			l.open.Add(1)
-			go (&call{load: l, ctx: ctx, measure: m, number: i}).run()
+			c := &call{load: l, ctx: ctx, measure: m, number: i}
+			go c.run()
 		}
 	}
 }
@@ -98,7 +99,8 @@
 	end := l.clock.Now().Add(l.options.Duration)
 	for i := range l.options.Closed {
 		l.open.Add(1)
-		go (&worker{load: l, ctx: ctx, measure: m, number: i, end: end}).run()
+		k := &worker{load: l, ctx: ctx, measure: m, number: i, end: end}
+		go k.run()
 	}
 }
 
