Bound prompts whatever the spelling of their fields

Cause, found by fuzzing: Go matches field names in any case, the bound of the prompt only as spelt, so that {"messAges": ...} was accepted with a bound of 24 tokens for 28 bytes: a way past the budget. Change: a name that differs from a known one in case only is refused; every field that is not known to stay out of the prompt counts.

--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,9 @@
 	if err := json.Unmarshal(raw, &all); err != nil {
 		return entity.Submission{}, false, nil, &InputError{"malformedJson", "the body is not an object", http.StatusBadRequest}
 	}
+	if e := all.spelling(); e != nil {
+		return entity.Submission{}, false, nil, e
+	}
 	limit := max(c.MaxTokens, c.MaxCompletionTokens)
 	s := entity.Submission{
 		Service: c.Model, PromptTokens: c.promptBound(all), MaxTokens: limit,
@@ -97,12 +101,32 @@
 	return nil
 }
 
+// outsidePrompt names the fields that never reach the prompt. Of these and of
+// messages only this spelling is taken: Go and some engines match names in any
+// case, and would see another request than the one that was bounded.
+var outsidePrompt = []string{
+	"model", "user", "max_tokens", "max_completion_tokens", "stream", "stream_options", "n",
+	"temperature", "top_p", "seed", "stop", "presence_penalty", "frequency_penalty",
+}
+
+// spelling returns an error for a name that differs in case from a known one.
+func (f fields) spelling() *InputError {
+	for name := range f {
+		for _, known := range append(outsidePrompt, "messages") {
+			if name != known && strings.EqualFold(name, known) {
+				return &InputError{"malformedJson", "the field " + known + " is misspelt", http.StatusBadRequest}
+			}
+		}
+	}
+	return nil
+}
+
 // promptBound is an upper bound of the prompt's tokens: one for each byte of
-// everything the engine may put into it.
+// everything that the engine may put into it.
 func (c *chatRequest) promptBound(all fields) int64 {
 	n := int64(tokensPerPrompt)
 	for name, value := range all {
-		if name == "messages" || name == "tools" || name == "functions" || name == "response_format" {
+		if !slices.Contains(outsidePrompt, name) {
 			n += int64(len(value))
 		}
 	}
--- a/io/caller/parse_test.go
+++ b/io/caller/parse_test.go
@@ -17,6 +17,7 @@
 		{"no model", `{"messages":[{"content":"x"}]}`, "missingModel"},
 		{"no messages", `{"model":"small"}`, "missingMessages"},
 		{"a negative limit", `{"model":"small","messages":[{"content":"x"}],"max_tokens":-1}`, "badLimit"},
+		{"a misspelt field", `{"model":"small","messAges":[{"content":"x"}],"max_tokens":1}`, "malformedJson"},
 		{"many choices", `{"model":"small","messages":[{"content":"x"}],"max_tokens":1,"n":3}`, "manyChoices"},
 	} {
 		It("refuses "+c.name, func() {
