--- a/core/core.go
+++ b/core/core.go
@@ -77,25 +77,24 @@
 	claims := claim.New()
 	changes := config.New()
 	suspects := suspect.New(changes)
-	recover := recovery.New(r.copies)
-	stop := drain.New(changes, unwritten{r.flush, r.copies, claims, recover})
-	writer := ledger.NewWriter(r.flush, recover, stop)
-	recover.Bind(writer)
+	recoveries := recovery.New(r.copies)
+	stop := drain.New(changes, unwritten{r.flush, r.copies, claims})
+	writer := ledger.NewWriter(r.flush, recoveries, stop)
+	recoveries.Bind(writer)
 	stop.Bind(writer)
 	r.systems = []world.System{
 		membership.New(), changes,
 		admission.New(), suspects, retry.New(claims), settle.New(r.flush, r.copies),
 		budget.New(o.budget...), claims, dispatch.New(suspects, o.dispatch...),
-		recover, r.copies, stop, writer,
+		recoveries, r.copies, stop, writer,
 	}
 }
 
 // unwritten counts what only this VM's memory holds.
 type unwritten struct {
-	flush   *ledger.Flush
-	copies  *ledger.Copies
-	claims  *claim.System
-	recover *recovery.System
+	flush  *ledger.Flush
+	copies *ledger.Copies
+	claims *claim.System
 }
 
 // Left implements drain.Work.
--- a/core/ledger/writer.go
+++ b/core/ledger/writer.go
@@ -107,9 +107,7 @@
 		w.Paused = false
 		return
 	}
-	t.nextTry = w.Now.Add(w.Policy.ResendMin)
-	t.checking = w.NextID()
-	w.Emit(outbox.Read{ID: t.checking, Keys: []string{entity.VMKey(w.Self.Name)}})
+	t.checking = t.readRow(w)
 }
 
 func (t *Writer) checked(w *world.World, e inbox.ReadDone) {
@@ -129,9 +127,15 @@
 	if t.reading != 0 || w.Now.Before(t.nextTry) {
 		return
 	}
+	t.reading = t.readRow(w)
+}
+
+// readRow reads this VM's row and returns the read's id.
+func (t *Writer) readRow(w *world.World) int64 {
 	t.nextTry = w.Now.Add(w.Policy.ResendMin)
-	t.reading = w.NextID()
-	w.Emit(outbox.Read{ID: t.reading, Keys: []string{entity.VMKey(w.Self.Name)}})
+	id := w.NextID()
+	w.Emit(outbox.Read{ID: id, Keys: []string{entity.VMKey(w.Self.Name)}})
+	return id
 }
 
 // takeOver claims the row from the VM's earlier incarnation, whose grants
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -7,14 +7,9 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -276,154 +271,6 @@
 	})
 }
 
-func cmdCrash(f *fleet, args []string) error {
-	f.processNamed(args[0]).kill()
-	return nil
-}
-
-func cmdStart(f *fleet, args []string) error {
-	if err := f.processNamed(args[0]).start(); err != nil {
-		return err
-	}
-	if r := f.router(args[0]); r != nil {
-		return f.ready(r)
-	}
-	return nil
-}
-
-func cmdFreeze(f *fleet, args []string) error {
-	f.processNamed(args[0]).signal(syscall.SIGSTOP)
-	return nil
-}
-
-func cmdThaw(f *fleet, args []string) error {
-	f.processNamed(args[0]).signal(syscall.SIGCONT)
-	return nil
-}
-
-func cmdShutdown(f *fleet, args []string) error {
-	f.processNamed(args[0]).signal(syscall.SIGTERM)
-	return cmdEnded(f, args)
-}
-
-func cmdLeave(f *fleet, args []string) error {
-	f.processNamed(args[0]).signal(syscall.SIGTERM)
-	return nil
-}
-
-func cmdEnded(f *fleet, args []string) error { return f.processNamed(args[0]).wait(limit) }
-
-func cmdCut(f *fleet, args []string) error { return f.setCut(args, true) }
-
-func cmdHeal(f *fleet, args []string) error { return f.setCut(args, false) }
-
-func (f *fleet) setCut(args []string, cut bool) error {
-	if p := f.place(args[0]); p != nil {
-		p.link.Set(cut)
-		return nil
-	}
-	if args[1] == "platform" {
-		f.router(args[0]).platformLink.Set(cut)
-		return nil
-	}
-	f.cutPeers(args[0], cut)
-	return nil
-}
-
-func cmdFault(f *fleet, args []string) error {
-	switch args[1] {
-	case "true", "false":
-		return f.setFault(args[0], args[1] == "true")
-	}
-	if n, err := strconv.Atoi(args[1]); err == nil {
-		return f.setFault(args[0], n)
-	}
-	return f.setFault(args[0], args[1])
-}
-
-func cmdRunner(f *fleet, args []string) error {
-	_, err := post("http://"+f.place(args[0]).process.args[2]+"/admin/behaviour", args[1])
-	return err
-}
-
-func cmdListed(f *fleet, args []string) error {
-	var routers []*router
-	for _, name := range args {
-		routers = append(routers, f.router(name))
-	}
-	return f.listVMs(routers)
-}
-
-func cmdOperate(f *fleet, args []string) error {
-	out, err := f.cli(args...)
-	if err == nil && os.Getenv("SHOW") != "" {
-		os.Stdout.WriteString(out)
-	}
-	return err
-}
-
-// cmdCompete runs two operators' commands at one moment, each at its router.
-// One must be accepted and the other be told of a conflict.
-func cmdCompete(f *fleet, args []string) error {
-	i := slices.Index(args, "--")
-	sides := [][]string{args[:i], args[i+1:]}
-	codes := make([]int, 2)
-	var both sync.WaitGroup
-	for k, side := range sides {
-		both.Add(1)
-		go func() {
-			defer both.Done()
-			codes[k] = f.cliAt(side[0], side[1:])
-		}()
-	}
-	both.Wait()
-	slices.Sort(codes)
-	if codes[0] != 0 || codes[1] != 3 {
-		return errors.Errorf("exit codes %v, not one 0 and one 3", codes)
-	}
-	return nil
-}
-
-func (f *fleet) cliAt(router string, args []string) int {
-	cmd := exec.Command(filepath.Join(f.bin, "hawthornspar"),
-		append([]string{"--entry", f.router(router).operator, "--secret", f.secret}, args...)...)
-	cmd.Run()
-	return cmd.ProcessState.ExitCode()
-}
-
-func cmdPrepaid(f *fleet, args []string) error {
-	row, _, err := f.budget(args[0])
-	if err == nil && row.Prepaid != int64(number(args[1], -1)) {
-		return errors.Errorf("%s: %d prepaid, not %s", args[0], row.Prepaid, args[1])
-	}
-	return err
-}
-
-func cmdRunsAt(f *fleet, args []string) error {
-	n, err := f.place(args[0]).runsOf(args[1])
-	if err == nil && n != number(args[2], -1) {
-		return errors.Errorf("%s ran %s %d times, not %s", args[0], args[1], n, args[2])
-	}
-	return err
-}
-
-func cmdLost(f *fleet, args []string) error {
-	lost := 0
-	for _, e := range f.engines {
-		select {
-		case <-e.process.exited:
-			lost++
-		default:
-		}
-	}
-	if lost > number(args[0], 0) {
-		return errors.Errorf("%d engines are lost, more than %s", lost, args[0])
-	}
-	return nil
-}
-
-func cmdSettled(f *fleet, _ []string) error { return f.settled() }
-
 func cmdRow(f *fleet, args []string) error {
 	return until(limit, func() error {
 		rows, err := f.rows(args[0])
--- /dev/null
+++ b/scenarios/faults_test.go
@@ -0,0 +1,101 @@
+package scenarios
+
+import (
+	"strconv"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+func cmdCrash(f *fleet, args []string) error {
+	f.processNamed(args[0]).kill()
+	return nil
+}
+
+func cmdStart(f *fleet, args []string) error {
+	if err := f.processNamed(args[0]).start(); err != nil {
+		return err
+	}
+	if r := f.router(args[0]); r != nil {
+		return f.ready(r)
+	}
+	return nil
+}
+
+func cmdFreeze(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGSTOP)
+	return nil
+}
+
+func cmdThaw(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGCONT)
+	return nil
+}
+
+func cmdShutdown(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGTERM)
+	return cmdEnded(f, args)
+}
+
+func cmdLeave(f *fleet, args []string) error {
+	f.processNamed(args[0]).signal(syscall.SIGTERM)
+	return nil
+}
+
+func cmdEnded(f *fleet, args []string) error { return f.processNamed(args[0]).wait(limit) }
+
+func cmdCut(f *fleet, args []string) error { return f.setCut(args, true) }
+
+func cmdHeal(f *fleet, args []string) error { return f.setCut(args, false) }
+
+func (f *fleet) setCut(args []string, cut bool) error {
+	if p := f.place(args[0]); p != nil {
+		p.link.Set(cut)
+		return nil
+	}
+	if args[1] == "platform" {
+		f.router(args[0]).platformLink.Set(cut)
+		return nil
+	}
+	f.cutPeers(args[0], cut)
+	return nil
+}
+
+func cmdFault(f *fleet, args []string) error {
+	switch args[1] {
+	case "true", "false":
+		return f.setFault(args[0], args[1] == "true")
+	}
+	if n, err := strconv.Atoi(args[1]); err == nil {
+		return f.setFault(args[0], n)
+	}
+	return f.setFault(args[0], args[1])
+}
+
+func cmdRunner(f *fleet, args []string) error {
+	_, err := post("http://"+f.place(args[0]).process.args[2]+"/admin/behaviour", args[1])
+	return err
+}
+
+func cmdListed(f *fleet, args []string) error {
+	var routers []*router
+	for _, name := range args {
+		routers = append(routers, f.router(name))
+	}
+	return f.listVMs(routers)
+}
+
+func cmdLost(f *fleet, args []string) error {
+	lost := 0
+	for _, e := range f.engines {
+		select {
+		case <-e.process.exited:
+			lost++
+		default:
+		}
+	}
+	if lost > number(args[0], 0) {
+		return errors.Errorf("%d engines are lost, more than %s", lost, args[0])
+	}
+	return nil
+}
