--- a/core/entity/config.go
+++ b/core/entity/config.go
@@ -74,7 +74,7 @@
 
 // Item is what a configuration change puts or removes.
 type Item interface {
-	// Name identifies the item among all kinds.
+	// ItemName identifies the item among all kinds.
 	ItemName() string
 }
 
--- /dev/null
+++ b/timer/timer_test.go
@@ -0,0 +1,52 @@
+package timer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestTimer(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "timer")
+}
+
+var _ = ginkgo.Describe("Fake", func() {
+	start := time.Unix(100, 0)
+	for _, c := range []struct {
+		name    string
+		advance []time.Duration
+		ticks   int // that a subscriber with a period of 20 ms sees when it looks after each step
+	}{
+		{"no tick before the period", []time.Duration{19 * time.Millisecond}, 0},
+		{"one tick at the period", []time.Duration{20 * time.Millisecond}, 1},
+		{"missed ticks are dropped", []time.Duration{time.Second}, 1},
+		{"a tick each period", []time.Duration{20 * time.Millisecond, 20 * time.Millisecond, 10 * time.Millisecond}, 2},
+	} {
+		ginkgo.It(c.name, func() {
+			f := NewFake(start)
+			s := f.Subscribe(20 * time.Millisecond)
+			seen := 0
+			for _, d := range c.advance {
+				f.Advance(d)
+				select {
+				case <-s.C:
+					seen++
+				default:
+				}
+			}
+			gomega.Expect(seen).To(gomega.Equal(c.ticks))
+		})
+	}
+
+	ginkgo.It("ticks nobody that stopped", func() {
+		f := NewFake(start)
+		s := f.Subscribe(time.Millisecond)
+		s.Stop()
+		f.Advance(time.Second)
+		gomega.Expect(s.C).NotTo(gomega.Receive())
+		gomega.Expect(f.Now()).To(gomega.Equal(start.Add(time.Second)))
+	})
+})
