--- a/experiment/crash.go
+++ b/experiment/crash.go
@@ -17,8 +17,9 @@
 	Bystanders  int // other requests sent
 	Unanswered  int // of these
 	Reasons     entity.Table[entity.Reason, int]
-	Quarantined int // fingerprints barred
-	Innocent    int // of these, not lethal
+	Quarantined int     // fingerprints barred
+	Innocent    int     // of these, not lethal
+	Retries     float64 // attempts that ran beyond the first, for each request
 }
 
 // RunCrash sends lethal requests, each many times with new keys to any
@@ -57,6 +58,9 @@
 		run.Lost += e.Crashes
 	}
 	run.Quarantined, run.Innocent = f.quarantined()
+	for _, r := range f.Results {
+		run.Retries += float64(max(r.Ran-1, 0)) / float64(len(f.Results))
+	}
 	return run
 }
 
@@ -80,11 +84,11 @@
 // PrintCrash plays one and two lethal requests over several seeds.
 func PrintCrash(out io.Writer, seed uint64) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "lethal requests\tseed\tendpoints lost\tbystanders\tunanswered\tquarantined\tinnocents among them\treasons")
+	fmt.Fprintln(t, "lethal requests\tseed\tendpoints lost\tbystanders\tunanswered\tquarantined\tinnocents among them\tretries\treasons")
 	for _, lethal := range []int{1, 2} {
 		for i := range uint64(5) {
 			r := RunCrash(seed+i, lethal)
-			fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\n", lethal, seed+i, r.Lost, r.Bystanders, r.Unanswered, r.Quarantined, r.Innocent, r.Reasons.Keys())
+			fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%v\n", lethal, seed+i, r.Lost, r.Bystanders, r.Unanswered, r.Quarantined, r.Innocent, 100*r.Retries, r.Reasons.Keys())
 		}
 	}
 	t.Flush()
