--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -171,20 +171,12 @@
 	}
 	body := fmt.Sprintf(`{"model":"small","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"answer:%d %s %d"}]}`,
 		c.load.options.Answer, c.load.options.Answer, c.measure.Path.Name, c.number)
-	r, err := http.NewRequestWithContext(c.ctx, http.MethodPost, c.measure.Path.URL+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		return nil, errors.Wrap(err, "request")
-	}
-	r.Header.Set("Authorization", "Bearer "+c.measure.Path.Secret)
 	start := c.load.clock.Now()
-	response, err := c.load.client.Do(r)
+	response, err := c.post("/v1/chat/completions", body, "")
 	if err != nil {
-		return nil, errors.Wrap(err, "send")
+		return nil, err
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: response.StatusCode}
-	}
 	var t times
 	lines := bufio.NewScanner(response.Body)
 	whole := false
@@ -200,24 +192,36 @@
 	return append(t, c.load.clock.Now().Sub(start)), nil
 }
 
-// order sends an order under a key of its own.
-func (c *call) order() (times, error) {
-	ref := fmt.Sprintf("%s-%d-%d", c.measure.Path.Name, c.load.clock.Now().UnixNano(), c.number)
-	r, err := http.NewRequestWithContext(c.ctx, http.MethodPost, c.measure.Path.URL, strings.NewReader(`{"ref":"`+ref+`","item":"strainer"}`))
+// post sends a body to the call's path, and returns an answer with status 200.
+func (c *call) post(path, body, key string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(c.ctx, http.MethodPost, c.measure.Path.URL+path, strings.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "request")
 	}
 	r.Header.Set("Authorization", "Bearer "+c.measure.Path.Secret)
-	r.Header.Set("Idempotency-Key", ref)
-	start := c.load.clock.Now()
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
 	response, err := c.load.client.Do(r)
 	if err != nil {
 		return nil, errors.Wrap(err, "send")
 	}
-	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
 		return nil, &StatusError{Status: response.StatusCode}
 	}
+	return response, nil
+}
+
+// order sends an order under a key of its own.
+func (c *call) order() (times, error) {
+	ref := fmt.Sprintf("%s-%d-%d", c.measure.Path.Name, c.load.clock.Now().UnixNano(), c.number)
+	start := c.load.clock.Now()
+	response, err := c.post("", `{"ref":"`+ref+`","item":"strainer"}`, ref)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
 	return times{c.load.clock.Now().Sub(start)}, errors.Wrap(err, "answer")
 }
