Look up candidates once a pass; remove state that nobody read

What the last reading found: the endpoints with room were computed for the check and again for the choice; five experiments set up the same fleet by hand; KeyGiven, AttemptEnded.Delivered, Peak, Suspicious and LastingMinute were written and never read; the comment on Died said less than the code does; the list of fixed field names was built anew for each field.

--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -16,7 +16,8 @@
 		q.serve(r)
 		s.credit(q, r.Cost)
 		q.rate.add(w.Now, r.Cost)
-		s.place(w, r, s.chooser.Choose(w, r, candidates(w, r)))
+		s.place(w, r, s.chooser.Choose(w, r, room.candidates(r)))
+		room.placed()
 	}
 }
 
@@ -47,27 +48,40 @@
 	return queue, urgent
 }
 
-// room remembers in one tick which services have no endpoint with room left.
-// Room only shrinks while requests are placed.
+// room keeps, between two placements, the endpoints that have room for each
+// service.
 type room struct {
 	world *world.World
-	full  entity.Table[string, bool]
+	found entity.Table[string, []*entity.Endpoint]
 }
 
 func newRoom(w *world.World) *room { return &room{world: w} }
 
-func (m *room) open(r *entity.Request) bool {
+// open tells whether some endpoint may get the request now.
+func (m *room) open(r *entity.Request) bool { return len(m.candidates(r)) > 0 }
+
+// candidates returns the endpoints that may get the request now. Those of a
+// request that some endpoints must not get are looked up for it alone.
+func (m *room) candidates(r *entity.Request) []*entity.Endpoint {
 	if r.SoleSuspect || len(r.Avoid) > 0 {
-		return len(candidates(m.world, r)) > 0
+		return candidates(m.world, r)
 	}
-	if full, _ := m.full.Get(r.Service); full {
-		return false
+	found, ok := m.found.Get(r.Service)
+	if !ok {
+		found = candidates(m.world, r)
+		m.found.Put(r.Service, found)
 	}
-	if len(candidates(m.world, r)) == 0 {
-		m.full.Put(r.Service, true)
-		return false
+	return found
+}
+
+// placed forgets what a placement may have changed. A service without room
+// stays so: room only shrinks while requests are placed.
+func (m *room) placed() {
+	for _, service := range m.found.Keys() {
+		if found, _ := m.found.Get(service); len(found) > 0 {
+			m.found.Delete(service)
+		}
 	}
-	return true
 }
 
 // credit lets the other waiting ranks earn their floors from what one rank is
--- a/core/entity/request.go
+++ b/core/entity/request.go
@@ -26,7 +26,6 @@
 	ID           int64  // unique within the process
 	KeyHash      string // hash of the caller's secret
 	RequestKey   string // Idempotency-Key, or one made by the entry VM
-	KeyGiven     bool   // the caller chose RequestKey
 	Service      string
 	Rank         string // asked for by the caller; may only lower the key's rank
 	PromptTokens int64  // upper bound
--- a/core/inbox/events.go
+++ b/core/inbox/events.go
@@ -39,14 +39,13 @@
 
 // AttemptEnded says how an attempt ended.
 type AttemptEnded struct {
-	Request   int64
-	Attempt   int
-	Endpoint  string
-	Outcome   Outcome
-	Died      bool  // a broken attempt's endpoint was found dead, not just out of reach
-	Tokens    int64 // prompt and output tokens used
-	Delivered int64 // output tokens that callers were sent
-	Answer    entity.Answer
+	Request  int64
+	Attempt  int
+	Endpoint string
+	Outcome  Outcome
+	Died     bool  // a broken attempt's endpoint was found dead, or stayed out of reach
+	Tokens   int64 // prompt and output tokens used
+	Answer   entity.Answer
 }
 
 // TransactOutcome is how a transaction ended.
--- a/experiment/affinity.go
+++ b/experiment/affinity.go
@@ -26,15 +26,12 @@
 	f.Table.Change(entity.Rank{Name: "normal", Order: 1, TargetMillis: 30_000})
 	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 4000})
 	f.Table.Account("a", "normal", 1_000_000_000)
-	for i := range rankEngines {
-		f.AddEngine(&Engine{
-			Name: fmt.Sprintf("e%02d", i), Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime,
-			Prefill: 400 * time.Millisecond, CacheSize: 12,
-		}, "small")
-	}
-	full := float64(rankEngines*rankSlots) / (rankOutput * rankTokenTime.Seconds())
+	f.addEngines(Engine{
+		Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime,
+		Prefill: 400 * time.Millisecond, CacheSize: 12,
+	})
 	f.Send(Source{
-		Label: "a", Account: "a", Rate: full * load, From: 3 * time.Second, Until: 60 * time.Second, Prefix: 100,
+		Label: "a", Account: "a", Rate: fullRate * load, From: 3 * time.Second, Until: 60 * time.Second, Prefix: 100,
 		Prompt: 1_000, Output: rankOutput, Limit: rankLimit, Target: 30 * time.Second,
 	})
 	f.Run(90 * time.Second)
--- a/experiment/crash.go
+++ b/experiment/crash.go
@@ -26,20 +26,17 @@
 // router, amid other work.
 func RunCrash(seed uint64, lethal int) CrashRun {
 	f := New(seed, rankRouters, world.DefaultPolicy())
-	f.Table.Change(entity.Rank{Name: "normal", Order: 1, TargetMillis: 30_000})
-	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 1000})
-	for i := range rankEngines {
-		e := &Engine{Name: fmt.Sprintf("e%02d", i), Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime, Restart: 15 * time.Second}
+	f.oneRank()
+	f.addEngines(Engine{Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime, Restart: 15 * time.Second})
+	for _, e := range f.Engines {
 		for k := range lethal {
 			e.Lethal.Put(fmt.Sprintf("lethal%d", k), true)
 		}
-		f.AddEngine(e, "small")
 	}
 	f.Table.Account("a", "normal", 1_000_000_000)
-	full := float64(rankEngines*rankSlots) / (rankOutput * rankTokenTime.Seconds())
 	until := 50 * time.Second
 	f.Send(Source{
-		Label: "bystander", Account: "a", Rate: full * 0.5, From: 3 * time.Second, Until: until,
+		Label: "bystander", Account: "a", Rate: fullRate * 0.5, From: 3 * time.Second, Until: until,
 		Prompt: rankPrompt, Output: rankOutput, Limit: rankLimit, Target: 30 * time.Second, Worth: 1,
 	})
 	for k := range lethal {
@@ -47,7 +44,7 @@
 			at := 10*time.Second + time.Duration(i*400+k*5)*time.Millisecond
 			f.After(at, func() {
 				s := entity.Submission{KeyHash: "a", Service: "small", PromptTokens: 80, MaxTokens: 50, Fingerprint: fmt.Sprintf("lethal%d", k)}
-				f.Submit(f.Nodes[f.Random.IntN(len(f.Nodes))], s, Body{Output: 30}, &Result{Label: "lethal", Suspicious: true})
+				f.Submit(f.Nodes[f.Random.IntN(len(f.Nodes))], s, Body{Output: 30}, &Result{Label: "lethal"})
 			})
 		}
 	}
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -21,8 +21,7 @@
 	Crashes   int
 	Runs      int
 	Hits      int
-	Busy      time.Duration // slot time used
-	Peak      int
+	Busy      time.Duration              // slot time used
 	Lethal    entity.Table[string, bool] // fingerprints that crash it
 
 	fleet   *Fleet
@@ -98,7 +97,6 @@
 	t.result.Ran++
 	e.Runs++
 	e.running = append(e.running, t)
-	e.Peak = max(e.Peak, len(e.running))
 	t.begun = e.fleet.Now
 	if lethal, _ := e.Lethal.Get(t.submission.Fingerprint); lethal {
 		e.crash()
--- a/experiment/fairness.go
+++ b/experiment/fairness.go
@@ -6,7 +6,6 @@
 	"text/tabwriter"
 	"time"
 
-	"hawthornspar/core/entity"
 	"hawthornspar/core/world"
 )
 
@@ -14,12 +13,8 @@
 // large ones, and returns what the small ones got.
 func RunFairness(seed uint64, large int, load float64) (small, big Summary) {
 	f := New(seed, rankRouters, world.DefaultPolicy())
-	f.Table.Change(entity.Rank{Name: "normal", Order: 1, TargetMillis: 30_000})
-	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 1000})
-	for i := range rankEngines {
-		f.AddEngine(&Engine{Name: fmt.Sprintf("e%02d", i), Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime}, "small")
-	}
-	full := float64(rankEngines*rankSlots) / (rankOutput * rankTokenTime.Seconds())
+	f.oneRank()
+	f.addEngines(Engine{Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime})
 	const smalls = 5
 	until := floodUntil
 	send := func(label, account string, rate float64, nodes int) {
@@ -30,11 +25,11 @@
 		})
 	}
 	for i := range smalls {
-		send("small", fmt.Sprintf("small%d", i), full*0.03, 0)
+		send("small", fmt.Sprintf("small%d", i), fullRate*0.03, 0)
 	}
 	for i := range large {
 		// The large accounts reach different routers unevenly.
-		send("large", fmt.Sprintf("large%d", i), full*load/float64(large), 3+i)
+		send("large", fmt.Sprintf("large%d", i), fullRate*load/float64(large), 3+i)
 	}
 	f.Run(until + 60*time.Second)
 	from := 20 * time.Second
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -66,26 +66,25 @@
 
 // Result is what a caller got.
 type Result struct {
-	Label      string // the caller's own class
-	Account    string
-	Key        string
-	Arrived    time.Time
-	FirstAt    time.Time
-	DoneAt     time.Time
-	Answered   bool
-	Billed     int64
-	Reason     entity.Reason // of a refusal
-	NotRun     bool
-	Ran        int // attempts that reached an endpoint
-	Tokens     int64
-	Endpoint   string
-	Charged    entity.ChargeKey
-	Target     time.Duration
-	Worth      int64
-	Cost       int64 // tokens of work when it is run
-	Output     int64 // tokens of its answer
-	Resolved   bool
-	Suspicious bool // crashes endpoints
+	Label    string // the caller's own class
+	Account  string
+	Key      string
+	Arrived  time.Time
+	FirstAt  time.Time
+	DoneAt   time.Time
+	Answered bool
+	Billed   int64
+	Reason   entity.Reason // of a refusal
+	NotRun   bool
+	Ran      int // attempts that reached an endpoint
+	Tokens   int64
+	Endpoint string
+	Charged  entity.ChargeKey
+	Target   time.Duration
+	Worth    int64
+	Cost     int64 // tokens of work when it is run
+	Output   int64 // tokens of its answer
+	Resolved bool
 }
 
 // New returns a fleet of so many routers, spread over three failure domains.
--- a/experiment/grants.go
+++ b/experiment/grants.go
@@ -61,11 +61,8 @@
 	policy.GrantHorizon = p.Horizon
 	policy.ListLag = 5 * time.Second
 	f := New(seed, grantRouters, policy, core.WithBudget(p.Options...))
-	f.Table.Change(entity.Rank{Name: "normal", Order: 1, TargetMillis: 30_000})
-	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 1000})
-	for i := range rankEngines {
-		f.AddEngine(&Engine{Name: fmt.Sprintf("e%02d", i), Slots: 32, QueueSize: 4, TokenTime: rankTokenTime}, "small")
-	}
+	f.oneRank()
+	f.addEngines(Engine{Slots: 32, QueueSize: 4, TokenTime: rankTokenTime})
 	for i := range grantAccounts {
 		name := fmt.Sprintf("a%d", i)
 		f.Table.Account(name, "normal", prepaid)
--- a/experiment/invariants_test.go
+++ b/experiment/invariants_test.go
@@ -65,7 +65,7 @@
 	}
 	s := entity.Submission{
 		KeyHash: rapid.SampledFrom([]string{"large", "tight"}).Draw(r.t, "account"),
-		Service: service, RequestKey: fmt.Sprintf("%s%d", label, r.keys), KeyGiven: true,
+		Service: service, RequestKey: fmt.Sprintf("%s%d", label, r.keys),
 		PromptTokens: 40, MaxTokens: 50, Fingerprint: fmt.Sprintf("%s%d", label, r.keys),
 	}
 	output := rapid.Int64Range(1, 80).Draw(r.t, "output") // some engines overrun the limit
--- a/experiment/ranks.go
+++ b/experiment/ranks.go
@@ -46,10 +46,9 @@
 
 // Flood is a pattern of demand. Loads are shares of the fleet's capacity.
 type Flood struct {
-	Name          string
-	Bulk, Urgent  float64 // during the flood
-	HalfEngines   bool    // half of the endpoints die when it begins
-	LastingMinute bool
+	Name         string
+	Bulk, Urgent float64 // during the flood
+	HalfEngines  bool    // half of the endpoints die when it begins
 }
 
 // Floods returns the patterns that are compared.
@@ -75,6 +74,24 @@
 	floodUntil    = 80 * time.Second
 )
 
+// fullRate is how many requests a second fill every slot.
+var fullRate = float64(rankEngines*rankSlots) / (rankOutput * rankTokenTime.Seconds())
+
+// oneRank sets up a single rank and the model that all requests name.
+func (f *Fleet) oneRank() {
+	f.Table.Change(entity.Rank{Name: "normal", Order: 1, TargetMillis: 30_000})
+	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 1000})
+}
+
+// addEngines adds the experiments' engines, all like one.
+func (f *Fleet) addEngines(like Engine) {
+	for i := range rankEngines {
+		e := like
+		e.Name = fmt.Sprintf("e%02d", i)
+		f.AddEngine(&e, "small")
+	}
+}
+
 // RankRun is one run's outcome.
 type RankRun struct {
 	User       string
@@ -98,14 +115,10 @@
 		f.Table.Change(r)
 	}
 	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 1000})
-	for i := range rankEngines {
-		f.AddEngine(&Engine{
-			Name: fmt.Sprintf("e%02d", i), Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime,
-			Prefill: 100 * time.Millisecond, CacheSize: 8, Restart: 10 * time.Second,
-		}, "small")
-	}
-	// Requests a second that fill every slot.
-	full := float64(rankEngines*rankSlots) / (rankOutput * rankTokenTime.Seconds())
+	f.addEngines(Engine{
+		Slots: rankSlots, QueueSize: 2, TokenTime: rankTokenTime,
+		Prefill: 100 * time.Millisecond, CacheSize: 8, Restart: 10 * time.Second,
+	})
 	loads := []struct{ steady, flood float64 }{{0.25, flood.Urgent}, {0.3, 0.3}, {0.2, flood.Bulk}}
 	for i, r := range user.Ranks {
 		account := r.Name
@@ -117,9 +130,9 @@
 			Label: r.Name, Account: account, Prompt: rankPrompt, Output: rankOutput, Limit: rankLimit,
 			Target: time.Duration(r.TargetMillis) * time.Millisecond, Worth: r.Worth,
 		}
-		s.Rate, s.From, s.Until = full*loads[i].steady, 3*time.Second, floodFrom
+		s.Rate, s.From, s.Until = fullRate*loads[i].steady, 3*time.Second, floodFrom
 		f.Send(s)
-		s.Rate, s.From, s.Until = full*loads[i].flood, floodFrom, floodUntil
+		s.Rate, s.From, s.Until = fullRate*loads[i].flood, floodFrom, floodUntil
 		f.Send(s)
 	}
 	f.Run(floodFrom)
--- a/experiment/slopes.go
+++ b/experiment/slopes.go
@@ -122,8 +122,7 @@
 func metered(seed uint64, routers int) (*Fleet, *meter) {
 	f := New(seed, routers, world.DefaultPolicy())
 	m := &meter{clock: timer.Real{}}
-	f.Table.Change(entity.Rank{Name: "normal", Order: 1, TargetMillis: 30_000})
-	f.Table.Change(entity.Service{Name: "small", Kind: entity.KindModel, Repeatable: true, MaxTokens: 1000})
+	f.oneRank()
 	f.Table.Account("a", "normal", 1_000_000_000_000)
 	return f, m
 }
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -109,10 +109,13 @@
 	"temperature", "top_p", "seed", "stop", "presence_penalty", "frequency_penalty",
 }
 
+// fixedNames are the names whose spelling is checked.
+var fixedNames = append(slices.Clone(outsidePrompt), "messages")
+
 // spelling returns an error for a name that differs in case from a known one.
 func (f fields) spelling() *InputError {
 	for name := range f {
-		for _, known := range append(outsidePrompt, "messages") {
+		for _, known := range fixedNames {
 			if name != known && strings.EqualFold(name, known) {
 				return &InputError{"malformedJson", "the field " + known + " is misspelt", http.StatusBadRequest}
 			}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -122,7 +122,6 @@
 		writeInputError(w, &InputError{"badKey", "Idempotency-Key must have at most 200 bytes and no slash", http.StatusBadRequest})
 		return
 	}
-	submission.KeyGiven = key != ""
 	if key == "" {
 		key = uuid.NewString()
 	}
--- a/io/endpoint/attempt.go
+++ b/io/endpoint/attempt.go
@@ -31,7 +31,7 @@
 	cancel   context.CancelFunc
 	sent     atomic.Bool // bytes may have reached the endpoint
 	stalled  atomic.Bool
-	died     bool // the endpoint was found dead after the attempt broke
+	died     bool // the endpoint was found dead, or stayed out of reach, after the attempt broke
 	frames   int
 	usage    streamUsage
 	tail     [][]byte
@@ -48,7 +48,6 @@
 		end.Outcome, end.Answer = t.call()
 	}
 	end.Died = t.died && end.Outcome == inbox.OutcomeBroken
-	end.Delivered = t.exchange.Delivered()
 	t.client.post(end)
 }
 
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -38,7 +38,6 @@
 	Frame(attempt int, data []byte, text string) bool
 	Tail(attempt int, data [][]byte, promptTokens, outputTokens int64)
 	Answer(attempt int, answer entity.Answer)
-	Delivered() int64
 }
 
 // Client runs attempts.
