Gateway: the request path on the users' platform, first start

Routes by host and prefix, accounts from a versioned document, endpoints from the registry, prepaid budgets drawn in escrow through the store's rows, a retry budget shared by count of VMs, connections that prove what was sent.

--- /dev/null
+++ b/cmd/hawthornspard/gateway.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"hawthornspar/core/retrybudget"
+	"hawthornspar/io/daemon"
+	"hawthornspar/io/gateway"
+	"hawthornspar/io/http1"
+	"hawthornspar/io/logline"
+	"hawthornspar/io/metrics"
+	"hawthornspar/io/settings"
+	"hawthornspar/platform"
+)
+
+// Share of the VM's memory that the collector may use, and its target.
+const (
+	memoryShare    = 0.7
+	collectPercent = 50
+)
+
+func gatewayCommand() *cli.Command {
+	file := &cli.StringFlag{
+		Name: "settings", Usage: "file of NAME=value lines",
+		Sources: cli.EnvVars("HAWTHORNSPAR_BOOT"), Required: true,
+	}
+	return &cli.Command{Name: "gateway", Usage: "serve clients on the users' platform", Flags: []cli.Flag{file}, Action: runGateway}
+}
+
+func runGateway(ctx context.Context, c *cli.Command) error {
+	s, err := settings.ReadGateway(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectPercent)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	counts, err := metrics.New()
+	if err != nil {
+		return err
+	}
+	dialer := http1.NewDialer()
+	store := platform.NewClient(s.Store, s.Name, dialer)
+	log := daemon.NewLog(logline.NewWriter(os.Stdout), s.Verbosity)
+	g := gateway.New(gatewaySettings(s), store, platform.Headers{}, http1.NewPool(dialer), counts, gateway.WithLog(log))
+	return g.Run(ctx)
+}
+
+func gatewaySettings(s settings.Gateway) gateway.Settings {
+	return gateway.Settings{
+		Name: s.Name, Incarnation: uuid.NewString(), Domain: s.Domain,
+		Listen: s.Listen, Ready: s.Ready, Metrics: s.Metrics,
+		Retries:       retrybudget.Bound{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		BudgetHorizon: s.Horizon, BudgetReport: s.Report,
+		Grace: s.Grace, AddressReuse: s.AddressReuse,
+	}
+}
--- /dev/null
+++ b/core/endpoints/outcome.go
@@ -0,0 +1,86 @@
+package endpoints
+
+import "time"
+
+// Avoidance after failures: doubled for each failure in a row.
+const (
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 4 * time.Second
+)
+
+// Outcome is how a send ended, as far as it tells of the endpoint.
+type Outcome int
+
+// Outcomes of sends.
+const (
+	// Answered: the endpoint gave an answer of its own.
+	Answered Outcome = iota
+	// Rejected: the endpoint proved that it did not run the request.
+	Rejected
+	// Failed: refused, reset, cut off or answered with a server error.
+	Failed
+	// Unreached: the send was given up for the caller's sake.
+	Unreached
+	// Misdirected: another endpoint has the address.
+	Misdirected
+)
+
+// Send is an own request at an endpoint.
+type Send struct {
+	Endpoint *Endpoint
+	tokens   int64
+	first    bool
+	ended    bool
+}
+
+// Begin counts a send.
+func (e *Endpoint) Begin(w Work, now time.Time) *Send {
+	tokens := w.Prompt - e.cached(w, false, now)
+	e.running++
+	e.prefilling += tokens
+	if len(e.parts) > partsKept {
+		e.parts = map[string]time.Time{}
+	}
+	for _, p := range w.shared() {
+		e.parts[p.ID] = now
+	}
+	return &Send{Endpoint: e, tokens: tokens}
+}
+
+// First counts the first piece of the answer: the prompt has been read.
+func (s *Send) First() {
+	if s.first {
+		return
+	}
+	s.first = true
+	s.Endpoint.prefilling -= s.tokens
+}
+
+// End counts the end of a send. It tells whether the endpoint is newly
+// avoided.
+func (s *Send) End(o Outcome, now time.Time) bool {
+	if s.ended {
+		return false
+	}
+	s.ended = true
+	s.First()
+	e := s.Endpoint
+	e.running--
+	switch o {
+	case Answered:
+		e.failures = 0
+		e.avoidUntil = time.Time{}
+	case Failed, Misdirected:
+		return e.avoid(now)
+	case Rejected, Unreached:
+	}
+	return false
+}
+
+func (e *Endpoint) avoid(now time.Time) bool {
+	sound := now.After(e.avoidUntil)
+	span := avoidFirst << min(e.failures, 3)
+	e.failures++
+	e.avoidUntil = now.Add(min(span, avoidMost))
+	return sound
+}
--- /dev/null
+++ b/core/escrow/transaction.go
@@ -0,0 +1,293 @@
+package escrow
+
+import "time"
+
+// totalsPerTransaction keeps a transaction, with a condition and a change for
+// each row, within the 100 entries that the store takes.
+const totalsPerTransaction = 45
+
+// Transaction is one atomic change of the store: all rows must still have
+// their versions.
+type Transaction struct {
+	Totals  []TotalChange
+	Holding Holding
+	Version int64 // that the VM's own row must have; 0 when it must not exist
+}
+
+// TotalChange replaces the total of one account.
+type TotalChange struct {
+	Account string
+	Version int64 // that the row must have; 0 when it must not exist
+	Total   Total
+	grant   int64 // tokens that the VM's holding gains
+}
+
+// Start takes the predecessor's holding, with its row's version, as read when
+// the store's clock showed storeMs. version is 0 when there is none.
+func (b *Book) Start(h Holding, version int64) {
+	b.predecessor = h
+	b.sequence = h.Sequence
+	b.ownVersion = version
+	b.ready = true
+	b.dirty = true
+}
+
+// Ready tells whether Start was called.
+func (b *Book) Ready() bool { return b.ready }
+
+// ReadTotal takes an account's row; version is 0 when it does not exist.
+func (b *Book) ReadTotal(name string, t Total, version int64) {
+	a := b.account(name)
+	if version >= a.version {
+		a.total, a.version = t.Drawn, version
+	}
+}
+
+// Unread returns the limited accounts whose totals have not been read.
+func (b *Book) Unread() []string {
+	var names []string
+	for name, a := range b.accounts {
+		if a.limited && a.version < 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Due tells whether a transaction is worth its write now: a request waits for
+// tokens, or the holding was not written for a period.
+func (b *Book) Due(now time.Time) bool {
+	if !b.ready {
+		return false
+	}
+	if b.pending != nil || b.closing && b.dirty {
+		return true
+	}
+	for _, a := range b.accounts {
+		if a.wanted > 0 && (a.total < a.prepaid || a.granted-a.committed() >= a.wanted) {
+			return true
+		}
+	}
+	return b.dirty && now.Sub(b.reported) >= b.policy.Report
+}
+
+// Plan returns the next transaction, or the one whose outcome is not known
+// yet. vms is the number of VMs that share the budgets.
+func (b *Book) Plan(vms int, now time.Time) *Transaction {
+	if b.pending != nil {
+		return b.pending
+	}
+	t := &Transaction{Version: b.ownVersion}
+	t.Holding = Holding{
+		Incarnation: b.incarnation, Sequence: b.sequence + 1,
+		StoreMs: b.clock.lower(now), Accounts: map[string]Held{},
+	}
+	for name, a := range b.accounts {
+		if a.limited && len(t.Totals) < totalsPerTransaction {
+			b.planAccount(t, name, a, vms, now)
+		}
+	}
+	b.sequence++
+	b.reported = now
+	b.dirty = false
+	b.pending = t
+	return t
+}
+
+func (b *Book) planAccount(t *Transaction, name string, a *account, vms int, now time.Time) {
+	a.measure(now)
+	grant, reclaimed := int64(0), int64(0)
+	if a.version >= 0 {
+		reclaimed = b.predecessor.unspent(name, b.clock.lower(now))
+		grant = a.change(b.policy, vms, a.prepaid-a.total+reclaimed)
+	}
+	if b.closing {
+		grant = min(a.committed()-a.granted, 0)
+	}
+	a.wanted = 0
+	if grant != 0 || reclaimed != 0 {
+		total := Total{Drawn: a.total - reclaimed + grant}
+		t.Totals = append(t.Totals, TotalChange{Account: name, Version: a.version, Total: total, grant: grant})
+	}
+	if grant < 0 {
+		a.granted += grant
+	}
+	held := a.held(max(grant, 0), b.policy)
+	t.Holding.Accounts[name] = held
+	a.bounds = append(a.bounds, bound{
+		sequence: t.Holding.Sequence, at: now,
+		committed: held.Committed, burst: held.Burst, perSecond: held.PerSecond,
+	})
+}
+
+// change returns the tokens to draw, or to return when negative. left is what
+// no VM has drawn.
+func (a *account) change(p Policy, vms int, left int64) int64 {
+	free := a.granted - a.committed()
+	if a.rate == 0 && a.granted == 0 {
+		first := int64(firstShare * float64(max(left, 0)) / float64(vms))
+		return min(max(first, a.wanted), max(left, 0))
+	}
+	target := a.target(p)
+	want := int64(0)
+	if float64(free) < refillBelow*float64(target) {
+		want = target - free
+	}
+	if float64(free) > returnAbove*float64(target) {
+		return target - free
+	}
+	share := int64(drawShare * float64(max(left, 0)) / float64(vms))
+	want = max(min(want, share), a.wanted)
+	return max(min(want, left), 0)
+}
+
+// held returns the account's entry in a holding that gains grant.
+func (a *account) held(grant int64, p Policy) Held {
+	committed := a.committed()
+	granted := a.granted + grant
+	free := max(granted-committed, 0)
+	burst := min(max(int64(burstShare*float64(free)), a.largest), free)
+	perSecond := int64(float64(free-burst)/p.Horizon.Seconds()) + 1
+	return Held{Granted: granted, Spent: a.spent, Committed: committed, Burst: burst, PerSecond: perSecond}
+}
+
+// Applied takes the news that the pending transaction was carried out, with
+// the version that its rows have now.
+func (b *Book) Applied(version int64) {
+	t := b.pending
+	if t == nil {
+		return
+	}
+	b.pending = nil
+	b.ownVersion = version
+	b.predecessor = Holding{}
+	b.owned = true
+	for _, c := range t.Totals {
+		a := b.accounts[c.Account]
+		a.granted += max(c.grant, 0)
+		a.total, a.version = c.Total.Drawn, version
+	}
+	b.settleBounds(t.Holding.Sequence)
+}
+
+// settleBounds drops the bounds of holdings that were replaced.
+func (b *Book) settleBounds(sequence int64) {
+	for _, a := range b.accounts {
+		kept := a.bounds[:0]
+		for _, o := range a.bounds {
+			if o.sequence >= sequence {
+				kept = append(kept, o)
+			}
+		}
+		a.bounds = kept
+	}
+}
+
+// Current is what the store's rows hold when a transaction's condition failed.
+type Current struct {
+	Totals  map[string]VersionedTotal
+	Holding Holding
+	Version int64 // of the VM's own row, 0 when it does not exist
+}
+
+// VersionedTotal is an account's row.
+type VersionedTotal struct {
+	Total   Total
+	Version int64
+}
+
+// Conflict takes the news that the pending transaction's condition failed.
+// When the VM's own row shows that an earlier send of the same transaction
+// was carried out, it counts as applied. Before the first own write a changed
+// row is the predecessor's last write, carried out late. It returns false when
+// another incarnation of this VM has taken over.
+func (b *Book) Conflict(c Current) bool {
+	t := b.pending
+	if t == nil {
+		return true
+	}
+	if c.Holding.Incarnation == b.incarnation && c.Holding.Sequence == t.Holding.Sequence {
+		b.Applied(c.Version)
+		b.readAll(c)
+		return true
+	}
+	b.pending = nil
+	b.undo(t)
+	if c.Version != b.ownVersion {
+		if b.owned {
+			return false
+		}
+		b.Start(c.Holding, c.Version)
+	}
+	b.readAll(c)
+	b.dirty = true
+	b.reported = time.Time{}
+	return true
+}
+
+// undo takes back a transaction that was not and will not be carried out.
+func (b *Book) undo(t *Transaction) {
+	for _, c := range t.Totals {
+		if c.grant < 0 {
+			b.accounts[c.Account].granted -= c.grant
+		}
+	}
+	for _, a := range b.accounts {
+		kept := a.bounds[:0]
+		for _, o := range a.bounds {
+			if o.sequence != t.Holding.Sequence {
+				kept = append(kept, o)
+			}
+		}
+		a.bounds = kept
+	}
+}
+
+func (b *Book) readAll(c Current) {
+	for name, v := range c.Totals {
+		b.ReadTotal(name, v.Total, v.Version)
+	}
+}
+
+// Close makes the next transactions return all that is free.
+func (b *Book) Close() {
+	b.closing = true
+	b.dirty = true
+}
+
+// Short tells whether a request was refused or waits for lack of tokens since
+// the totals were read.
+func (b *Book) Short() bool {
+	for _, a := range b.accounts {
+		if a.wanted > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Unspent returns a copy of what each account has free, for reports.
+func (b *Book) Unspent(now time.Time) map[string]int64 {
+	free := map[string]int64{}
+	for name, a := range b.accounts {
+		if a.limited {
+			free[name] = a.free(now)
+		}
+	}
+	return free
+}
+
+// VersionedHolding is a VM's row.
+type VersionedHolding struct {
+	Holding Holding
+	Version int64
+}
+
+// Outcome is the store's answer to a transaction.
+type Outcome struct {
+	Applied bool
+	Version int64 // of the changed rows
+	StoreMs int64 // the store's clock
+	At      time.Time
+	Current Current // when it was not applied
+}
--- /dev/null
+++ b/io/gateway/budget.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hawthornspar/core/escrow"
+)
+
+// Pace of the budget keeper.
+const (
+	// budgetTick is how often it looks whether a write is due.
+	budgetTick = 250 * time.Millisecond
+	// censusPeriod is the time between counts of the VMs.
+	censusPeriod = 5 * time.Second
+	// shortPeriod is the time between reads of totals while budget is short.
+	shortPeriod = time.Second
+)
+
+// budgetKeeper carries the book's transactions to the store.
+type budgetKeeper struct {
+	gateway *Gateway
+	store   dependency
+	census  time.Time // of the last count of VMs
+	totals  time.Time // of the last read of totals
+}
+
+func (k *budgetKeeper) loop(ctx context.Context) {
+	k.store.name = "budgets"
+	for ctx.Err() == nil {
+		err := k.step(ctx)
+		k.store.note(k.gateway, err)
+		if err != nil {
+			sleep(ctx, jitter(failPause))
+			continue
+		}
+		k.rest(ctx)
+	}
+}
+
+// rest waits for a request that lacks budget, or a while.
+func (k *budgetKeeper) rest(ctx context.Context) {
+	t := time.NewTimer(budgetTick)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-k.gateway.kick:
+	case <-ctx.Done():
+	}
+}
+
+func (k *budgetKeeper) step(ctx context.Context) error {
+	if k.gateway.state.routes() == nil {
+		return nil
+	}
+	if err := k.read(ctx); err != nil {
+		return err
+	}
+	return k.write(ctx)
+}
+
+// read takes over from the predecessor and refreshes what is known of others.
+func (k *budgetKeeper) read(ctx context.Context) error {
+	s := k.gateway.state
+	now := time.Now()
+	s.mu.Lock()
+	unread := !s.book.Ready() || len(s.book.Unread()) > 0
+	short := s.book.Short() && now.Sub(k.totals) > shortPeriod
+	s.mu.Unlock()
+	if unread || short {
+		if err := k.readTotals(ctx); err != nil {
+			return err
+		}
+	}
+	if unread || now.Sub(k.census) > censusPeriod {
+		return k.readHoldings(ctx)
+	}
+	return nil
+}
+
+func (k *budgetKeeper) readTotals(ctx context.Context) error {
+	totals, storeMs, err := k.gateway.store.Totals(ctx)
+	if err != nil {
+		return err
+	}
+	s := k.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	k.totals = now
+	s.book.Clock(storeMs, now)
+	for name, t := range totals {
+		s.book.ReadTotal(name, t.Total, t.Version)
+	}
+	for _, name := range s.book.Unread() {
+		s.book.ReadTotal(name, escrow.Total{}, 0)
+	}
+	return nil
+}
+
+func (k *budgetKeeper) readHoldings(ctx context.Context) error {
+	holdings, storeMs, err := k.gateway.store.Holdings(ctx)
+	if err != nil {
+		return err
+	}
+	s := k.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	k.census = now
+	s.book.Clock(storeMs, now)
+	own, found := holdings[k.gateway.settings.Name]
+	count := len(holdings)
+	if !found {
+		count++
+	}
+	if s.book.Ready() && count != s.vms {
+		k.gateway.log.Info("VMs counted", "vms", count, "before", s.vms)
+	}
+	if !s.book.Ready() {
+		s.book.Start(own.Holding, own.Version)
+		s.vms = max(count, defaultVMs)
+		return nil
+	}
+	s.vms = count
+	return nil
+}
+
+// write sends the transaction that is due.
+func (k *budgetKeeper) write(ctx context.Context) error {
+	s := k.gateway.state
+	now := time.Now()
+	s.mu.Lock()
+	if !s.book.Due(now) {
+		s.mu.Unlock()
+		return nil
+	}
+	t := s.book.Plan(s.vms, now)
+	s.mu.Unlock()
+	outcome, err := k.gateway.store.Transact(ctx, t)
+	if err != nil {
+		return err
+	}
+	k.apply(t, outcome)
+	return nil
+}
+
+func (k *budgetKeeper) apply(t *escrow.Transaction, o escrow.Outcome) {
+	s := k.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Clock(o.StoreMs, time.Now())
+	owned := true
+	if o.Applied {
+		s.book.Applied(o.Version)
+	} else {
+		owned = s.book.Conflict(o.Current)
+	}
+	if !owned {
+		k.gateway.log.Info("another incarnation has this VM's budgets")
+	}
+	s.bookChanged()
+	if len(t.Totals) > 0 {
+		k.gateway.log.Info("budgets", "applied", o.Applied, "accounts", len(t.Totals), "sequence", t.Holding.Sequence)
+	}
+}
+
+// close returns what is free, for at most the given time.
+func (k *budgetKeeper) close(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	s := k.gateway.state
+	s.mu.Lock()
+	s.book.Close()
+	due := s.book.Due(time.Now())
+	s.mu.Unlock()
+	for due && ctx.Err() == nil {
+		if err := k.write(ctx); err != nil {
+			k.gateway.log.Info("budget not returned", "error", err.Error())
+			sleep(ctx, failPause)
+		}
+		s.mu.Lock()
+		due = s.book.Due(time.Now())
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/io/gateway/dialect.go
@@ -0,0 +1,62 @@
+// Package gateway forwards HTTP requests of clients to endpoints. It joins the
+// decisions of core to the sockets: routes and accounts, prepaid budgets, the
+// choice of endpoints, retries, streams, and what follows the store.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"hawthornspar/core/endpoints"
+	"hawthornspar/core/escrow"
+	"hawthornspar/core/route"
+)
+
+// Ask is what a client's headers say of its request.
+type Ask struct {
+	ID           string
+	Key          string        // API key
+	Patience     time.Duration // how long the client waits; 0 when unstated
+	PromptTokens int64
+	OutputTokens int64 // at most
+	Parts        []endpoints.Part
+	LastEvent    string // id of the last event that the client has
+}
+
+// Send is what an endpoint is told besides the client's own headers.
+type Send struct {
+	Left      time.Duration // until the request's deadline
+	Endpoint  string        // id of the endpoint that is meant
+	Priority  int
+	Account   string
+	LastEvent string // id of the event after which a stream goes on
+}
+
+// Reply is what the head of an endpoint's answer says.
+type Reply struct {
+	ID     string // of the request that it answers
+	Sealed bool   // it is an endpoint's answer to a request that ran
+	NotRun bool   // the endpoint proves that it did not run the request
+}
+
+// Dialect translates headers.
+type Dialect interface {
+	Ask(http.Header) Ask
+	Forward(http.Header, Send)
+	Reply(http.Header) Reply
+	Stamp(h http.Header, id string, comeBack time.Duration)
+}
+
+// Store is the platform's store. Versions say where a watch goes on. A watch
+// returns after wait at the latest.
+type Store interface {
+	Configuration(context.Context) (*route.Document, int64, error)
+	WatchConfiguration(ctx context.Context, version int64, wait time.Duration) (*route.Document, int64, error)
+	Registry(context.Context) (endpoints.RegistryChange, int64, error)
+	WatchRegistry(ctx context.Context, version int64, wait time.Duration) (endpoints.RegistryChange, int64, error)
+	Totals(context.Context) (totals map[string]escrow.VersionedTotal, storeMs int64, err error)
+	Holdings(context.Context) (holdings map[string]escrow.VersionedHolding, storeMs int64, err error)
+	Transact(context.Context, *escrow.Transaction) (escrow.Outcome, error)
+	HistoryLost(error) bool
+}
--- /dev/null
+++ b/io/gateway/exchange.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hawthornspar/core/endpoints"
+	"hawthornspar/core/escrow"
+	"hawthornspar/core/route"
+	"hawthornspar/io/http1"
+)
+
+// leastLeft is the least time in which an endpoint can do anything useful.
+const leastLeft = 5 * time.Millisecond
+
+// exchange is one request of a client with its sends to endpoints.
+type exchange struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	ask     Ask
+	arrived time.Time
+
+	version  int64 // of the configuration that it was admitted by
+	route    *route.Route
+	account  *route.Account
+	service  string
+	engine   *route.Engine
+	work     endpoints.Work
+	deadline time.Time
+	body     []byte
+
+	reservation *escrow.Reservation
+	tried       map[string]bool // endpoints that it was sent to
+	sends       int
+	attempts    int // sends that may have run
+	relayed     relayed
+}
+
+// step is what follows a send.
+type step int
+
+const (
+	done  step = iota // the client has its answer, or gets a refusal
+	again             // send to another endpoint
+)
+
+// run forwards the request until the client has an answer.
+func (x *exchange) run() {
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	defer cancel()
+	defer x.settle()
+	last := noEndpoint
+	for {
+		next, refused := x.attempt(ctx, last)
+		if next == again {
+			last = refused
+			continue
+		}
+		if x.relayed.begun && refused.status != 0 || refused == clientLeft {
+			x.end("cutOff", refused.reason)
+			panic(http.ErrAbortHandler)
+		}
+		if refused.status != 0 {
+			x.refuse(refused)
+			return
+		}
+		x.end("answered", "")
+		return
+	}
+}
+
+// attempt sends the request once. last says why the send before it failed.
+func (x *exchange) attempt(ctx context.Context, last refusal) (step, refusal) {
+	if time.Until(x.deadline) < leastLeft {
+		return done, x.late()
+	}
+	arrived := x.sends > 0 && last != unreachable && last != endpointError
+	if arrived && !x.gateway.state.takeRetry(x.service) {
+		return done, x.giveUp(retriesSpent)
+	}
+	send := x.gateway.state.place(x.work, x.tried)
+	if send == nil {
+		return done, x.giveUp(last)
+	}
+	x.tried[send.Endpoint.ID] = true
+	outcome, next, refused := x.send(ctx, send)
+	if x.request.Context().Err() != nil {
+		outcome = endpoints.Unreached
+	}
+	if x.gateway.state.end(send, outcome) {
+		x.gateway.log.Info("endpoint avoided", "endpoint", send.Endpoint.ID, "service", x.service, "request", x.ask.ID, "reason", refused.reason)
+	}
+	if next == again {
+		x.gateway.metrics.Count("retries", refused.reason)
+		x.gateway.log.Info("retried", "id", x.ask.ID, "endpoint", send.Endpoint.ID, "reason", refused.reason, "attempts", x.attempts, "sends", x.sends)
+	}
+	return next, refused
+}
+
+// giveUp returns the final refusal: not run only when nothing can have run.
+func (x *exchange) giveUp(r refusal) refusal {
+	if x.attempts > 0 {
+		return outcomeUnknown
+	}
+	return r
+}
+
+func (x *exchange) late() refusal {
+	if x.attempts > 0 {
+		return lateSent
+	}
+	return lateUnsent
+}
+
+// send sends the request to one endpoint and relays its answer.
+func (x *exchange) send(ctx context.Context, s *endpoints.Send) (endpoints.Outcome, step, refusal) {
+	conn, err := x.gateway.pool.Get(ctx, s.Endpoint.Address, x.gateway.state.connections(x.service))
+	if err != nil {
+		return x.unsent(ctx, err)
+	}
+	stop := conn.CloseWith(ctx)
+	defer stop()
+	x.sends++
+	err = conn.Send(x.outgoing(s))
+	if err != nil {
+		conn.Close()
+		var unsent *http1.UnsentError
+		if errors.As(err, &unsent) {
+			return x.unsent(ctx, err)
+		}
+		return x.unanswered(ctx, err)
+	}
+	response, err := conn.Answer(x.request.Method, x.own)
+	if err != nil {
+		conn.Close()
+		return x.unanswered(ctx, err)
+	}
+	return x.answer(ctx, s, conn, response, stop)
+}
+
+// unsent follows a send of which nothing reached the endpoint.
+func (x *exchange) unsent(ctx context.Context, err error) (endpoints.Outcome, step, refusal) {
+	if ctx.Err() != nil {
+		return endpoints.Unreached, done, x.late()
+	}
+	var limit *http1.LimitError
+	if errors.As(err, &limit) {
+		return endpoints.Unreached, again, unreachable
+	}
+	return endpoints.Failed, again, unreachable
+}
+
+// unanswered follows a send that may have run and whose answer is lost.
+func (x *exchange) unanswered(ctx context.Context, err error) (endpoints.Outcome, step, refusal) {
+	x.attempts++
+	if ctx.Err() != nil {
+		return endpoints.Failed, done, lateSent
+	}
+	x.gateway.log.Info("answer lost", "id", x.ask.ID, "error", err.Error(), "attempts", x.attempts)
+	if x.mayRepeat() {
+		return endpoints.Failed, again, outcomeUnknown
+	}
+	return endpoints.Failed, done, outcomeUnknown
+}
+
+// mayRepeat tells whether the request may be sent again after it may have run.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Kind.Repeatable() && x.attempts < max(x.route.MaxAttempts, 1)
+}
+
+// own tells whether an answer belongs to this request.
+func (x *exchange) own(r *http.Response) bool {
+	reply := x.gateway.dialect.Reply(r.Header)
+	if reply.ID != "" || r.StatusCode < http.StatusMultipleChoices {
+		return reply.ID == x.ask.ID
+	}
+	return true
+}
+
+// answer decides what an endpoint's answer means for the request.
+func (x *exchange) answer(ctx context.Context, s *endpoints.Send, conn *http1.Conn, response *http.Response, stop func() bool) (endpoints.Outcome, step, refusal) {
+	reply := x.gateway.dialect.Reply(response.Header)
+	switch {
+	case reply.NotRun:
+		x.finish(conn, response, stop)
+		return endpoints.Rejected, again, endpointsFull
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		x.finish(conn, response, stop)
+		return endpoints.Misdirected, again, misdirected
+	}
+	x.attempts++
+	failed := response.StatusCode >= http.StatusInternalServerError
+	if failed && x.route.Kind.Repeatable() && x.mayRepeat() && x.gateway.state.takeRetry(x.service) {
+		x.finish(conn, response, stop)
+		return endpoints.Answered, again, endpointError
+	}
+	if x.relayed.begun && response.StatusCode != http.StatusOK {
+		x.finish(conn, response, stop)
+		return endpoints.Answered, done, outcomeUnknown
+	}
+	err := x.relay(s, response)
+	switch {
+	case err == nil:
+		stop()
+		conn.Finish(response)
+		return endpoints.Answered, done, refusal{}
+	case x.request.Context().Err() != nil:
+		conn.Close()
+		return endpoints.Unreached, done, clientLeft
+	case ctx.Err() != nil:
+		conn.Close()
+		return endpoints.Answered, done, lateSent
+	}
+	conn.Close()
+	x.gateway.log.Info("answer cut off", "id", x.ask.ID, "endpoint", s.Endpoint.ID, "error", err.Error(), "events", x.relayed.events)
+	if x.route.Kind == route.Resumable && x.mayRepeat() || !x.relayed.begun && x.mayRepeat() {
+		return endpoints.Failed, again, outcomeUnknown
+	}
+	return endpoints.Failed, done, outcomeUnknown
+}
+
+// settle bills what the request used.
+func (x *exchange) settle() {
+	if x.reservation == nil {
+		return
+	}
+	used := int64(0)
+	if x.attempts > 0 {
+		used = x.ask.PromptTokens + x.outputTokens()
+	}
+	x.gateway.state.settle(x.reservation, used)
+}
+
+// outputTokens returns the output that the client was sent, counted high.
+func (x *exchange) outputTokens() int64 {
+	perEvent := int64(1)
+	if x.engine != nil && x.engine.TokensPerEvent > 0 {
+		perEvent = x.engine.TokensPerEvent
+	}
+	return min(int64(x.relayed.events)*perEvent, x.ask.OutputTokens)
+}
+
+func (x *exchange) refuse(r refusal) {
+	x.end("refused", r.reason)
+	x.gateway.refuse(x.writer, x.ask.ID, r, x.left())
+}
+
+// left returns the time until the client's deadline; 0 when it is unknown.
+func (x *exchange) left() time.Duration {
+	if x.deadline.IsZero() {
+		return x.ask.Patience
+	}
+	return max(time.Until(x.deadline), time.Millisecond)
+}
+
+// end logs how the request ended.
+func (x *exchange) end(outcome, reason string) {
+	name, account := "", ""
+	if x.route != nil {
+		name = x.route.Name
+	}
+	if x.account != nil {
+		account = x.account.Name
+	}
+	x.gateway.metrics.Count("requests", outcome)
+	x.gateway.log.Info("ended", "id", x.ask.ID, "outcome", outcome, "reason", reason, "route", name, "account", account,
+		"configuration", x.version, "sends", x.sends, "attempts", x.attempts, "events", x.relayed.events, "ms", time.Since(x.arrived).Milliseconds())
+}
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hawthornspar/core/retrybudget"
+	"hawthornspar/io/http1"
+	"hawthornspar/io/metrics"
+)
+
+// defaultVMs is assumed until the store has told how many VMs there are.
+const defaultVMs = 16
+
+// Settings are what a gateway is told at its start.
+type Settings struct {
+	Name          string // this VM's
+	Incarnation   string // unique for each start
+	Domain        string // failure domain
+	Listen        string // IP:port for clients
+	Ready         string // IP:port for readiness checks
+	Metrics       string // IP:port for metrics; empty for none
+	Retries       retrybudget.Bound
+	BudgetHorizon time.Duration // spending that a VM holds for outages of the store
+	BudgetReport  time.Duration // time between writes of what a VM holds
+	Grace         time.Duration // from SIGTERM until the process is killed
+	AddressReuse  time.Duration // shortest time until another endpoint gets an address
+}
+
+// Gateway is one VM's request path.
+type Gateway struct {
+	settings Settings
+	store    Store
+	dialect  Dialect
+	pool     *http1.Pool
+	state    *state
+	log      logr.Logger
+	metrics  *metrics.Registry
+	kick     chan struct{} // a request waits for budget
+	stopping atomic.Bool
+	buffered atomic.Int64 // bytes of request bodies in memory
+	server   *server
+}
+
+// Option changes how a gateway is built.
+type Option func(*Gateway)
+
+// WithLog sets the log.
+func WithLog(l logr.Logger) Option { return func(g *Gateway) { g.log = l } }
+
+// New returns a gateway that speaks d to clients and endpoints.
+func New(s Settings, st Store, d Dialect, p *http1.Pool, m *metrics.Registry, options ...Option) *Gateway {
+	g := &Gateway{
+		settings: s, store: st, dialect: d, pool: p, state: newState(s),
+		log: logr.Discard(), metrics: m, kick: make(chan struct{}, 1),
+	}
+	for _, o := range options {
+		o(g)
+	}
+	g.server = newServer(g)
+	return g
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	if err := g.server.listen(); err != nil {
+		return err
+	}
+	g.log.Info("started", "vm", g.settings.Name, "incarnation", g.settings.Incarnation, "listen", g.settings.Listen)
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	configuration := &configurationFollower{gateway: g}
+	go configuration.loop(work)
+	registry := &registryFollower{gateway: g}
+	go registry.loop(work)
+	budget := &budgetKeeper{gateway: g}
+	go budget.loop(work)
+	upkeep := &upkeep{gateway: g}
+	go upkeep.loop(work)
+	<-ctx.Done()
+	g.stop(budget)
+	return nil
+}
--- /dev/null
+++ b/io/gateway/refusal.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status   int
+	reason   string
+	comeBack time.Duration // when the client may try again; 0 for unstated
+	close    bool          // the connection cannot be used again
+}
+
+// Refusals. Statuses 429 and 503 are used only while no endpoint can have run
+// the request.
+var (
+	noConfiguration  = refusal{status: http.StatusServiceUnavailable, reason: "noConfiguration", comeBack: time.Second}
+	noRoute          = refusal{status: http.StatusNotFound, reason: "noRoute"}
+	unknownKey       = refusal{status: http.StatusUnauthorized, reason: "unknownKey"}
+	bodyTooLarge     = refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge", close: true}
+	bodyTimeout      = refusal{status: http.StatusRequestTimeout, reason: "bodyTimeout", close: true}
+	badBody          = refusal{status: http.StatusBadRequest, reason: "badBody", close: true}
+	bodiesFull       = refusal{status: http.StatusServiceUnavailable, reason: "bodiesFull", comeBack: time.Second, close: true}
+	budgetExhausted  = refusal{status: http.StatusPaymentRequired, reason: "budgetExhausted"}
+	budgetShort      = refusal{status: http.StatusTooManyRequests, reason: "budgetShort", comeBack: time.Second}
+	noEndpoint       = refusal{status: http.StatusServiceUnavailable, reason: "noEndpoint", comeBack: 500 * time.Millisecond}
+	endpointsFull    = refusal{status: http.StatusServiceUnavailable, reason: "endpointsFull", comeBack: 300 * time.Millisecond}
+	retriesSpent     = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", comeBack: 300 * time.Millisecond}
+	lateUnsent       = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
+	lateSent         = refusal{status: http.StatusGatewayTimeout, reason: "late"}
+	outcomeUnknown   = refusal{status: http.StatusBadGateway, reason: "outcomeUnknown"}
+	shareOfPatience  = 3 // clients come back within a third of the time that they have left
+	refusalMediaType = "application/json"
+)
+
+// Reasons of further sends.
+var (
+	// unreachable follows a send that did not reach its endpoint.
+	unreachable = refusal{status: http.StatusServiceUnavailable, reason: "unreachable", comeBack: 300 * time.Millisecond}
+	// misdirected follows a send to an address that another endpoint has now.
+	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", comeBack: 300 * time.Millisecond}
+	// endpointError follows an endpoint's own failure of a repeatable request;
+	// the retry budget has been asked already.
+	endpointError = refusal{status: http.StatusBadGateway, reason: "endpointError"}
+	// clientLeft ends a request whose answer nobody waits for.
+	clientLeft = refusal{reason: "clientLeft"}
+)
+
+// refuse writes a refusal.
+func (g *Gateway) refuse(w http.ResponseWriter, id string, r refusal, left time.Duration) {
+	g.metrics.Count("refusals", r.reason)
+	comeBack := r.comeBack
+	if left > 0 {
+		comeBack = min(comeBack, left/time.Duration(shareOfPatience))
+	}
+	h := w.Header()
+	g.dialect.Stamp(h, id, comeBack)
+	h.Set("Content-Type", refusalMediaType)
+	if r.close {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(r.status)
+	body := struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}{}
+	body.Error.Code = r.reason
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		g.log.V(1).Info("refusal not written", "id", id, "reason", r.reason, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/io/gateway/serve.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"hawthornspar/core/endpoints"
+	"hawthornspar/core/route"
+)
+
+// bufferedMost bounds the request bodies in memory, well below a small VM's.
+const bufferedMost = 64 << 20
+
+// patienceDefault is used when neither the client nor the route sets a bound.
+const patienceDefault = 60 * time.Second
+
+// ServeHTTP takes a client's request: it finds the route and the account, reads
+// the body, reserves budget and forwards.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now(), tried: map[string]bool{}}
+	x.ask = g.dialect.Ask(r.Header)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refused := x.admit(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
+	defer g.buffered.Add(-int64(len(x.body)))
+	if refused := x.reserve(); refused != nil {
+		x.refuse(*refused)
+		return
+	}
+	x.run()
+}
+
+// admit finds route, account and service, and reads the body.
+func (x *exchange) admit() *refusal {
+	table := x.gateway.state.routes()
+	if table == nil {
+		return &noConfiguration
+	}
+	x.version = table.Document.Version
+	x.route = table.Match(x.request.Host, rawPath(x.request.RequestURI))
+	if x.route == nil {
+		return &noRoute
+	}
+	x.account = table.Account(x.ask.Key)
+	if x.account == nil && table.NeedsKey(x.route) {
+		return &unknownKey
+	}
+	x.setDeadline()
+	x.service = x.route.Pick(x.gateway.state.random.Float64())
+	x.engine = engineOf(table, x.service)
+	x.work = endpoints.Work{Service: x.service, Parts: x.ask.Parts, Prompt: x.ask.PromptTokens}
+	x.gateway.state.countRequest(x.service)
+	return x.readBody(table.Document.Limits.BodyBytes)
+}
+
+func engineOf(t *route.Table, service string) *route.Engine {
+	if s := t.Service(service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// rawPath returns the path of a request line as it was sent.
+func rawPath(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+func (x *exchange) setDeadline() {
+	patience := patienceDefault
+	if x.ask.Patience > 0 {
+		patience = x.ask.Patience
+	}
+	if x.route.Timeout > 0 {
+		patience = min(patience, x.route.Timeout)
+	}
+	x.deadline = x.arrived.Add(patience)
+}
+
+// readBody takes the whole body into memory.
+func (x *exchange) readBody(limit int64) *refusal {
+	r := x.request
+	if r.ContentLength == 0 || r.Body == http.NoBody {
+		return nil
+	}
+	if limit > 0 && r.ContentLength > limit {
+		return &bodyTooLarge
+	}
+	if x.gateway.buffered.Load()+max(r.ContentLength, 0) > bufferedMost {
+		return &bodiesFull
+	}
+	control := http.NewResponseController(x.writer)
+	if err := control.SetReadDeadline(x.deadline); err != nil {
+		return &badBody
+	}
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(x.writer, r.Body, limit)
+	}
+	body, err := readAll(r.Body, r.ContentLength)
+	x.gateway.buffered.Add(int64(len(body)))
+	x.body = body
+	if err != nil {
+		x.gateway.buffered.Add(-int64(len(body)))
+		x.body = nil
+		return bodyRefusal(err)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return &badBody
+	}
+	return nil
+}
+
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	n, err := io.ReadFull(r, body)
+	return body[:n], err
+}
+
+func bodyRefusal(err error) *refusal {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &bodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &bodyTimeout
+	}
+	return &badBody
+}
+
+// budgetWait bounds how long a request waits for its VM to draw budget.
+const budgetWait = 400 * time.Millisecond
+
+// reserve sets aside the most that the request can use.
+func (x *exchange) reserve() *refusal {
+	if x.account == nil || x.account.Prepaid == nil {
+		return nil
+	}
+	tokens := x.ask.PromptTokens + x.ask.OutputTokens
+	if tokens > *x.account.Prepaid {
+		return &budgetExhausted
+	}
+	timer := time.NewTimer(min(budgetWait, time.Until(x.deadline)/4))
+	defer timer.Stop()
+	for {
+		reservation, changed := x.gateway.state.reserve(x.account.Name, tokens)
+		if reservation != nil {
+			x.reservation = reservation
+			return nil
+		}
+		x.gateway.wake()
+		select {
+		case <-changed:
+		case <-timer.C:
+			return &budgetShort
+		case <-x.request.Context().Done():
+			return &budgetShort
+		}
+	}
+}
+
+// wake makes the budget keeper look at once.
+func (g *Gateway) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
--- a/io/settings/describe.go
+++ b/io/settings/describe.go
@@ -21,10 +21,10 @@
 	{"excludesall", "must not contain a slash or a space"},
 }
 
-// describe names a wrong setting by its flag, without its value when that is
+// describe names a wrong setting of the struct t by its flag, without its value when that is
 // a secret.
-func describe(f validator.FieldError) string {
-	field, _ := reflect.TypeFor[Settings]().FieldByName(f.StructField())
+func describe(t reflect.Type, f validator.FieldError) string {
+	field, _ := t.FieldByName(f.StructField())
 	name := field.Tag.Get("flag")
 	for _, r := range rules {
 		if r.tag != f.Tag() {
--- /dev/null
+++ b/io/settings/gateway.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/joho/godotenv"
+	"github.com/pkg/errors"
+)
+
+// Gateway are the settings of hawthornspard's gateway, read from a file of
+// NAME=value lines with the names of environment variables.
+type Gateway struct {
+	Name         string        `validate:"required,max=64" flag:"HAWTHORNSPAR_NAME"`
+	Domain       string        `validate:"required,max=64" flag:"HAWTHORNSPAR_FAILURE_DOMAIN"`
+	Listen       string        `validate:"required,ipport" flag:"HAWTHORNSPAR_LISTEN"`
+	Ready        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_READY_LISTEN"`
+	Metrics      string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_METRICS_LISTEN"`
+	Store        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_STORE"`
+	RetryRatio   float64       `validate:"min=0,max=10" flag:"HAWTHORNSPAR_RETRY_RATIO"`
+	RetryExtra   float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_RETRY_EXTRA"`
+	RetryWindow  time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_RETRY_WINDOW"`
+	Grace        time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_GRACE"`
+	Horizon      time.Duration `validate:"min=1s,max=1h" flag:"HAWTHORNSPAR_BUDGET_HORIZON"`
+	Report       time.Duration `validate:"min=100ms,max=1m" flag:"HAWTHORNSPAR_BUDGET_REPORT"`
+	AddressReuse time.Duration `validate:"min=0,max=10m" flag:"HAWTHORNSPAR_ADDRESS_REUSE"`
+	MemoryMB     int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
+	Verbosity    int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
+}
+
+// ReadGateway reads and checks a settings file. A wrong setting gives an
+// *Error that names all of them.
+func ReadGateway(path string) (Gateway, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, errors.Wrap(err, "settings")
+	}
+	return ParseGateway(raw)
+}
+
+// ParseGateway reads and checks the text of a settings file.
+func ParseGateway(raw []byte) (Gateway, error) {
+	values, err := godotenv.UnmarshalBytes(raw)
+	if err != nil {
+		return Gateway{}, &Error{Problems: []string{"the file: " + err.Error()}}
+	}
+	g := Gateway{}
+	var problems []string
+	target := reflect.ValueOf(&g).Elem()
+	for i := range target.NumField() {
+		name := target.Type().Field(i).Tag.Get("flag")
+		if value := values[name]; value != "" && !set(target.Field(i), value) {
+			problems = append(problems, name+" cannot be read: "+value)
+		}
+	}
+	if len(problems) == 0 {
+		problems = checkGateway(g)
+	}
+	if len(problems) > 0 {
+		return Gateway{}, &Error{Problems: problems}
+	}
+	return g, nil
+}
+
+func checkGateway(g Gateway) []string {
+	v := validator.New()
+	if err := v.RegisterValidation("ipport", isIPPort); err != nil {
+		return []string{err.Error()}
+	}
+	var problems []string
+	var wrong validator.ValidationErrors
+	if err := v.Struct(g); errors.As(err, &wrong) {
+		for _, f := range wrong {
+			problems = append(problems, describe(reflect.TypeFor[Gateway](), f))
+		}
+	}
+	return problems
+}
+
+// set reads a value into a field. Durations carry a unit, such as 1.5s.
+func set(field reflect.Value, value string) bool {
+	switch field.Interface().(type) {
+	case string:
+		field.SetString(value)
+		return true
+	case time.Duration:
+		d, err := time.ParseDuration(value)
+		field.SetInt(int64(d))
+		return err == nil
+	case int:
+		n, err := strconv.Atoi(value)
+		field.SetInt(int64(n))
+		return err == nil
+	case float64:
+		x, err := strconv.ParseFloat(value, 64)
+		field.SetFloat(x)
+		return err == nil
+	}
+	return false
+}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -107,7 +108,7 @@
 	var problems []string
 	if err := v.Struct(s); err != nil {
 		for _, f := range err.(validator.ValidationErrors) {
-			problems = append(problems, describe(f))
+			problems = append(problems, describe(reflect.TypeFor[Settings](), f))
 		}
 	}
 	if len(problems) == 0 {
