Budgets held by share of rates with a bounded speed; a 421 takes its endpoint out

Cause: VMs held 7% of an unspent budget, so cuts of the store refused what the budget had room for, and restarts could take back almost nothing. Endpoints reborn during a cut answered 421 for seconds and were chosen again.

--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -60,8 +60,8 @@
 	return gateway.Settings{
 		Name: s.Name, Incarnation: uuid.NewString(), Domain: s.Domain,
 		Listen: s.Listen, Ready: s.Ready, Metrics: s.Metrics,
-		Retries:       retrybudget.Bound{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		BudgetHorizon: s.Horizon, BudgetReport: s.Report,
-		Grace: s.Grace, AddressReuse: s.AddressReuse,
+		Retries:      retrybudget.Bound{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		BudgetReport: s.Report,
+		Grace:        s.Grace, AddressReuse: s.AddressReuse,
 	}
 }
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -6,6 +6,8 @@
 const (
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// avoidFull follows a rejection, about the time of a request's work.
+	avoidFull = 100 * time.Millisecond
 )
 
 // Outcome is how a send ended, as far as it tells of the endpoint.
@@ -70,9 +72,15 @@
 	case Answered:
 		e.failures = 0
 		e.avoidUntil = time.Time{}
-	case Failed, Misdirected:
+	case Failed:
 		return e.avoid(now)
-	case Rejected, Unreached:
+	case Misdirected:
+		// Its next heartbeat, if it lives, brings it back.
+		e.goneAt = now
+		return true
+	case Rejected:
+		e.avoidUntil = later(e.avoidUntil, now.Add(avoidFull))
+	case Unreached:
 	}
 	return false
 }
@@ -84,3 +92,10 @@
 	e.avoidUntil = now.Add(min(span, avoidMost))
 	return sound
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -5,28 +5,37 @@
 	"time"
 )
 
-// Policy sets how much a VM holds.
+// Policy sets how often a VM writes.
 type Policy struct {
-	Horizon time.Duration // spending that a holding should last for while the store is out of reach
-	Report  time.Duration // time between writes of the holding while it is used
+	Report time.Duration // time between writes of the holding while it is used
 }
 
-// Shares of what is held.
+// Sizes of what is held.
 const (
-	// burstShare is the part of the free tokens that may be used at once.
-	burstShare = 0.4
-	// firstShare is the part of what is left in an account that all VMs
-	// together draw before they know its rate.
-	firstShare = 0.15
-	// drawShare is the part of what is left that all VMs together may draw at
-	// one time.
-	drawShare = 0.6
-	// refillBelow is the part of the target under which more is drawn.
-	refillBelow = 0.7
-	// returnAbove is the multiple of the target above which the rest is returned.
-	returnAbove = 2.0
+	// heldShare is the part of an account's unspent budget that VMs hold; the
+	// rest stays in the store for whoever runs short.
+	heldShare = 0.8
+	// drawBelow and returnAbove are the shares of its target at which a VM
+	// draws more or returns the rest.
+	drawBelow   = 0.9
+	returnAbove = 1.1
+	// idleWeight is the weight of a VM without requests beside the mean one,
+	// as any VM may get the next request.
+	idleWeight = 0.25
+	// slowFactor and fastFactor are how much faster than lately a VM may spend
+	// until it writes its holding again, at first and later.
+	slowFactor = 1.3
+	fastFactor = 3
+	// slowDrain and fastDrain empty a holding at the least allowed speeds.
+	slowDrain = 40 * time.Second
+	fastDrain = 8 * time.Second
+	// burstSpan is the spending at the slow speed that may come at once,
+	// besides one usual request.
+	burstSpan = 300 * time.Millisecond
 	// rateSpan is the time constant of the measured rate.
-	rateSpan = 3 * time.Second
+	rateSpan = 4 * time.Second
+	// meanWeight is the weight of one request in the usual size.
+	meanWeight = 0.1
 )
 
 // Book is a VM's view of all accounts. It decides; the caller carries its
@@ -45,6 +54,7 @@
 	clock       storeClock
 	reported    time.Time
 	dirty       bool
+	vms         int // VMs with a holding, this one included
 }
 
 type account struct {
@@ -54,22 +64,27 @@
 	spent    int64
 	reserved int64
 	bounds   []bound
-	total    int64 // drawn by all VMs, as last read
-	version  int64 // of the total's row; -1 when it has not been read
-	rate     float64
+	total    int64   // drawn by all VMs, as last read
+	version  int64   // of the total's row; -1 when it has not been read
+	rate     float64 // tokens asked for in a second
 	rated    time.Time
-	recent   int64 // tokens used since rated
-	largest  int64 // request
-	wanted   int64 // tokens that a waiting request lacks
+	recent   int64   // tokens asked for since rated
+	mean     float64 // tokens of a usual request
+	wanted   int64   // tokens that a waiting request lacks
+	others   others
+}
+
+// others is what the holdings of the other VMs say of an account.
+type others struct {
+	free int64
+	rate float64
 }
 
 // bound is what one written holding allows.
 type bound struct {
-	sequence  int64
-	at        time.Time
-	committed int64
-	burst     int64
-	perSecond int64
+	sequence int64
+	at       time.Time
+	held     Held
 }
 
 // storeClock gives lower estimates of the store's clock.
@@ -125,7 +140,6 @@
 	if a == nil || !a.limited || tokens == 0 {
 		return &Reservation{}, true
 	}
-	a.largest = max(a.largest, tokens)
 	lacks := tokens - a.free(now)
 	if lacks > 0 {
 		a.wanted = max(a.wanted, lacks)
@@ -133,6 +147,8 @@
 		return nil, false
 	}
 	a.reserved += tokens
+	a.recent += tokens
+	a.mean += meanWeight * (float64(tokens) - a.mean)
 	b.dirty = true
 	return &Reservation{account: a, tokens: tokens}, true
 }
@@ -148,26 +164,16 @@
 	used = min(used, r.tokens)
 	a.reserved -= r.tokens
 	a.spent += used
-	a.recent += used
 	b.dirty = true
 }
 
-// Exhausted tells whether the whole budget is known to be too small for a
-// request: VMs have drawn it all, and this one has nothing reserved that
-// could come back.
-func (b *Book) Exhausted(name string, tokens int64) bool {
-	a := b.accounts[name]
-	return a != nil && a.limited && tokens > a.prepaid
-}
-
 func (a *account) committed() int64 { return a.spent + a.reserved }
 
 // free returns the tokens that may be reserved now.
 func (a *account) free(now time.Time) int64 {
 	limit := a.granted
 	for _, b := range a.bounds {
-		passed := now.Sub(b.at).Milliseconds()
-		limit = min(limit, b.committed+b.burst+b.perSecond*passed/1000)
+		limit = min(limit, b.held.allowed(now.Sub(b.at)))
 	}
 	return limit - a.committed()
 }
@@ -188,7 +194,20 @@
 	a.rated = now
 }
 
-// target returns the free tokens that the VM wants to hold.
-func (a *account) target(p Policy) int64 {
-	return int64(a.rate*p.Horizon.Seconds()) + a.largest
+// Balance is what a VM holds of one account, for logs.
+type Balance struct {
+	Granted   int64
+	Committed int64
+	Free      int64 // may be reserved now
+	Left      int64 // drawn by no VM, as last read
+	Others    int64 // free at other VMs, as last read
+}
+
+// Balance returns an account's balance.
+func (b *Book) Balance(name string, now time.Time) Balance {
+	a := b.accounts[name]
+	if a == nil {
+		return Balance{}
+	}
+	return Balance{Granted: a.granted, Committed: a.committed(), Free: a.free(now), Left: a.prepaid - a.total, Others: a.others.free}
 }
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -8,6 +8,8 @@
 // last wrote its holding.
 package escrow
 
+import "time"
+
 // Total is the row of a client account.
 type Total struct {
 	Drawn int64 `json:"drawn"` // tokens drawn by VMs, less those returned
@@ -27,16 +29,33 @@
 	Spent     int64 `json:"spent"`     // tokens of ended requests
 	Committed int64 `json:"committed"` // spent, and reserved by running requests
 	Burst     int64 `json:"burst"`     // tokens that may be committed beyond at any time
-	PerSecond int64 `json:"perSecond"` // and for each second since
+	PerSecond int64 `json:"perSecond"` // and for each second since, at first
+	Later     int64 `json:"later"`     // and for each second after slowSpan
+	Rate      int64 `json:"rate"`      // tokens that requests ask for in a second
+}
+
+// free returns the tokens that are neither spent nor reserved.
+func (h Held) free() int64 { return max(h.Granted-h.Committed, 0) }
+
+// slowSpan is how long a VM may go on only a little faster than before. A dead
+// VM mostly starts again within it, so little stays unaccounted for; in an
+// outage of the store the speed rises after it.
+const slowSpan = 2 * time.Second
+
+// allowed returns the most tokens that the VM may have committed a while after
+// it wrote the holding.
+func (h Held) allowed(passed time.Duration) int64 {
+	slow := min(passed, slowSpan).Milliseconds()
+	fast := max(passed-slowSpan, 0).Milliseconds()
+	return h.Committed + h.Burst + (h.PerSecond*slow+h.Later*fast)/1000
 }
 
 // atMost returns the most tokens that the VM can have committed when the
 // store's clock shows storeMs.
 func (h Holding) atMost(account string, storeMs int64) int64 {
 	held := h.Accounts[account]
-	passed := max(storeMs-h.StoreMs, 0)
-	bound := held.Committed + held.Burst + held.PerSecond*(passed+999)/1000
-	return min(held.Granted, bound)
+	passed := time.Duration(max(storeMs-h.StoreMs, 0)+1) * time.Millisecond
+	return min(held.Granted, held.allowed(passed))
 }
 
 // unspent returns the tokens that the VM, known to be dead, cannot have used.
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -19,7 +19,22 @@
 	Account string
 	Version int64 // that the row must have; 0 when it must not exist
 	Total   Total
-	grant   int64 // tokens that the VM's holding gains
+	Grant   int64 // tokens that the VM's holding gains; negative for a return
+	Reclaim int64 // tokens taken back from the VM's predecessor
+	Left    int64 // tokens that no VM has drawn afterwards
+}
+
+// Others takes the holdings of the other VMs. It only steers how much is drawn.
+func (b *Book) Others(holdings []Holding) {
+	b.vms = len(holdings) + 1
+	for name, a := range b.accounts {
+		a.others = others{}
+		for _, h := range holdings {
+			held := h.Accounts[name]
+			a.others.free += held.free()
+			a.others.rate += float64(held.Rate)
+		}
+	}
 }
 
 // Start takes the predecessor's holding, with its row's version, as read when
@@ -30,6 +45,9 @@
 	b.ownVersion = version
 	b.ready = true
 	b.dirty = true
+	for name, held := range h.Accounts {
+		b.account(name).rate = float64(held.Rate)
+	}
 }
 
 // Ready tells whether Start was called.
@@ -68,12 +86,21 @@
 			return true
 		}
 	}
-	return b.dirty && now.Sub(b.reported) >= b.policy.Report
+	return now.Sub(b.reported) >= b.policy.Report && (b.dirty || b.unbalanced())
+}
+
+// unbalanced tells whether an account's holding is far from its target.
+func (b *Book) unbalanced() bool {
+	for _, a := range b.accounts {
+		if a.limited && a.version >= 0 && a.change(b.vms, a.prepaid-a.total) != 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// Plan returns the next transaction, or the one whose outcome is not known
-// yet. vms is the number of VMs that share the budgets.
-func (b *Book) Plan(vms int, now time.Time) *Transaction {
+// Plan returns the next transaction, or the one whose outcome is not known yet.
+func (b *Book) Plan(now time.Time) *Transaction {
 	if b.pending != nil {
 		return b.pending
 	}
@@ -84,7 +111,7 @@
 	}
 	for name, a := range b.accounts {
 		if a.limited && len(t.Totals) < totalsPerTransaction {
-			b.planAccount(t, name, a, vms, now)
+			b.planAccount(t, name, a, now)
 		}
 	}
 	b.sequence++
@@ -94,61 +121,66 @@
 	return t
 }
 
-func (b *Book) planAccount(t *Transaction, name string, a *account, vms int, now time.Time) {
+func (b *Book) planAccount(t *Transaction, name string, a *account, now time.Time) {
 	a.measure(now)
 	grant, reclaimed := int64(0), int64(0)
 	if a.version >= 0 {
 		reclaimed = b.predecessor.unspent(name, b.clock.lower(now))
-		grant = a.change(b.policy, vms, a.prepaid-a.total+reclaimed)
+		grant = a.change(b.vms, a.prepaid-a.total+reclaimed)
 	}
 	if b.closing {
 		grant = min(a.committed()-a.granted, 0)
 	}
-	a.wanted = 0
 	if grant != 0 || reclaimed != 0 {
 		total := Total{Drawn: a.total - reclaimed + grant}
-		t.Totals = append(t.Totals, TotalChange{Account: name, Version: a.version, Total: total, grant: grant})
+		t.Totals = append(t.Totals, TotalChange{Account: name, Version: a.version, Total: total, Grant: grant, Reclaim: reclaimed, Left: a.prepaid - total.Drawn})
 	}
 	if grant < 0 {
 		a.granted += grant
 	}
-	held := a.held(max(grant, 0), b.policy)
+	held := a.held(max(grant, 0))
+	a.wanted = 0
 	t.Holding.Accounts[name] = held
-	a.bounds = append(a.bounds, bound{
-		sequence: t.Holding.Sequence, at: now,
-		committed: held.Committed, burst: held.Burst, perSecond: held.PerSecond,
-	})
+	a.bounds = append(a.bounds, bound{sequence: t.Holding.Sequence, at: now, held: held})
 }
 
 // change returns the tokens to draw, or to return when negative. left is what
 // no VM has drawn.
-func (a *account) change(p Policy, vms int, left int64) int64 {
+func (a *account) change(vms int, left int64) int64 {
+	left = max(left, 0)
 	free := a.granted - a.committed()
-	if a.rate == 0 && a.granted == 0 {
-		first := int64(firstShare * float64(max(left, 0)) / float64(vms))
-		return min(max(first, a.wanted), max(left, 0))
-	}
-	target := a.target(p)
+	target := a.target(vms, left+free+a.others.free)
 	want := int64(0)
-	if float64(free) < refillBelow*float64(target) {
-		want = target - free
-	}
-	if float64(free) > returnAbove*float64(target) {
-		return target - free
+	switch {
+	case float64(free) < drawBelow*target:
+		want = int64(target) - free
+	case float64(free) > returnAbove*target && a.wanted == 0:
+		return int64(target) - free
 	}
-	share := int64(drawShare * float64(max(left, 0)) / float64(vms))
-	want = max(min(want, share), a.wanted)
-	return max(min(want, left), 0)
+	return min(max(want, a.wanted), left)
+}
+
+// target returns the free tokens that the VM should hold of those that no
+// request has: its share by the rates of all VMs.
+func (a *account) target(vms int, unspent int64) float64 {
+	total := a.rate + a.others.rate
+	idle := idleWeight*total/float64(vms) + 1 // not zero, so that shares exist
+	weight := (a.rate + idle) / (total + idle*float64(vms))
+	return heldShare * float64(unspent) * weight
 }
 
 // held returns the account's entry in a holding that gains grant.
-func (a *account) held(grant int64, p Policy) Held {
+func (a *account) held(grant int64) Held {
 	committed := a.committed()
 	granted := a.granted + grant
 	free := max(granted-committed, 0)
-	burst := min(max(int64(burstShare*float64(free)), a.largest), free)
-	perSecond := int64(float64(free-burst)/p.Horizon.Seconds()) + 1
-	return Held{Granted: granted, Spent: a.spent, Committed: committed, Burst: burst, PerSecond: perSecond}
+	slow := max(slowFactor*a.rate, float64(free)/slowDrain.Seconds())
+	fast := max(fastFactor*a.rate, float64(free)/fastDrain.Seconds())
+	burst := int64(slow*burstSpan.Seconds()+a.mean) + a.wanted
+	return Held{
+		Granted: granted, Spent: a.spent, Committed: committed,
+		Burst: min(burst, free), PerSecond: int64(slow), Later: int64(fast), Rate: int64(a.rate),
+	}
 }
 
 // Applied takes the news that the pending transaction was carried out, with
@@ -164,7 +196,7 @@
 	b.owned = true
 	for _, c := range t.Totals {
 		a := b.accounts[c.Account]
-		a.granted += max(c.grant, 0)
+		a.granted += max(c.Grant, 0)
 		a.total, a.version = c.Total.Drawn, version
 	}
 	b.settleBounds(t.Holding.Sequence)
@@ -228,8 +260,8 @@
 // undo takes back a transaction that was not and will not be carried out.
 func (b *Book) undo(t *Transaction) {
 	for _, c := range t.Totals {
-		if c.grant < 0 {
-			b.accounts[c.Account].granted -= c.grant
+		if c.Grant < 0 {
+			b.accounts[c.Account].granted -= c.Grant
 		}
 	}
 	for _, a := range b.accounts {
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -11,8 +11,12 @@
 const (
 	// budgetTick is how often it looks whether a write is due.
 	budgetTick = 250 * time.Millisecond
-	// censusPeriod is the time between counts of the VMs.
-	censusPeriod = 5 * time.Second
+	// censusPeriod is the time between reads of the other VMs' holdings for
+	// each VM there is, so that all VMs together read the same rows a second
+	// whatever their number.
+	censusPeriod = 100 * time.Millisecond
+	// writeShare is the part of the store's write rate that budgets may use.
+	writeShare = 0.8
 	// shortPeriod is the time between reads of totals while budget is short.
 	shortPeriod = time.Second
 )
@@ -38,8 +42,14 @@
 	}
 }
 
-// rest waits for a request that lacks budget, or a while.
+// rest keeps this VM's share of the store's write rate, then waits for a
+// request that lacks budget, or a while.
 func (k *budgetKeeper) rest(ctx context.Context) {
+	k.gateway.state.mu.Lock()
+	vms := k.gateway.state.vms
+	k.gateway.state.mu.Unlock()
+	spacing := time.Duration(float64(vms) / (writeShare * k.gateway.settings.StoreWrites) * float64(time.Second))
+	sleep(ctx, spacing)
 	t := time.NewTimer(budgetTick)
 	defer t.Stop()
 	select {
@@ -66,13 +76,14 @@
 	s.mu.Lock()
 	unread := !s.book.Ready() || len(s.book.Unread()) > 0
 	short := s.book.Short() && now.Sub(k.totals) > shortPeriod
+	vms := s.vms
 	s.mu.Unlock()
 	if unread || short {
 		if err := k.readTotals(ctx); err != nil {
 			return err
 		}
 	}
-	if unread || now.Sub(k.census) > censusPeriod {
+	if unread || now.Sub(k.census) > time.Duration(vms)*censusPeriod {
 		return k.readHoldings(ctx)
 	}
 	return nil
@@ -109,11 +120,15 @@
 	now := time.Now()
 	k.census = now
 	s.book.Clock(storeMs, now)
-	own, found := holdings[k.gateway.settings.Name]
-	count := len(holdings)
-	if !found {
-		count++
+	own := holdings[k.gateway.settings.Name]
+	var others []escrow.Holding
+	for name, h := range holdings {
+		if name != k.gateway.settings.Name {
+			others = append(others, h.Holding)
+		}
 	}
+	s.book.Others(others)
+	count := len(others) + 1
 	if s.book.Ready() && count != s.vms {
 		k.gateway.log.Info("VMs counted", "vms", count, "before", s.vms)
 	}
@@ -135,7 +150,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	t := s.book.Plan(s.vms, now)
+	t := s.book.Plan(now)
 	s.mu.Unlock()
 	outcome, err := k.gateway.store.Transact(ctx, t)
 	if err != nil {
@@ -160,8 +175,9 @@
 		k.gateway.log.Info("another incarnation has this VM's budgets")
 	}
 	s.bookChanged()
-	if len(t.Totals) > 0 {
-		k.gateway.log.Info("budgets", "applied", o.Applied, "accounts", len(t.Totals), "sequence", t.Holding.Sequence)
+	for _, c := range t.Totals {
+		k.gateway.log.Info("budget drawn", "account", c.Account, "applied", o.Applied, "tokens", c.Grant, "reclaimed", c.Reclaim, "left", c.Left,
+			"spent", t.Holding.Accounts[c.Account].Spent, "sequence", t.Holding.Sequence)
 	}
 }
 
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -184,12 +184,12 @@
 func (x *exchange) answer(ctx context.Context, s *endpoints.Send, conn *http1.Conn, response *http.Response, stop func() bool) (endpoints.Outcome, step, refusal) {
 	reply := x.gateway.dialect.Reply(response.Header)
 	switch {
-	case reply.NotRun:
-		x.finish(conn, response, stop)
-		return endpoints.Rejected, again, endpointsFull
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		x.finish(conn, response, stop)
 		return endpoints.Misdirected, again, misdirected
+	case reply.NotRun:
+		x.finish(conn, response, stop)
+		return endpoints.Rejected, again, endpointsFull
 	}
 	x.attempts++
 	failed := response.StatusCode >= http.StatusInternalServerError
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -101,6 +101,11 @@
 	}
 	g.server.limit(d.Limits, nil)
 	g.log.Info("configuration", "version", d.Version, "routes", len(d.Routes), "accounts", len(d.Accounts))
+	for _, a := range d.Accounts {
+		if a.Prepaid != nil {
+			g.log.V(1).Info("budget configured", "account", a.Name, "prepaid", *a.Prepaid, "version", d.Version)
+		}
+	}
 	g.wake()
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -17,17 +17,17 @@
 
 // Settings are what a gateway is told at its start.
 type Settings struct {
-	Name          string // this VM's
-	Incarnation   string // unique for each start
-	Domain        string // failure domain
-	Listen        string // IP:port for clients
-	Ready         string // IP:port for readiness checks
-	Metrics       string // IP:port for metrics; empty for none
-	Retries       retrybudget.Bound
-	BudgetHorizon time.Duration // spending that a VM holds for outages of the store
-	BudgetReport  time.Duration // time between writes of what a VM holds
-	Grace         time.Duration // from SIGTERM until the process is killed
-	AddressReuse  time.Duration // shortest time until another endpoint gets an address
+	Name         string // this VM's
+	Incarnation  string // unique for each start
+	Domain       string // failure domain
+	Listen       string // IP:port for clients
+	Ready        string // IP:port for readiness checks
+	Metrics      string // IP:port for metrics; empty for none
+	Retries      retrybudget.Bound
+	BudgetReport time.Duration // time between writes of what a VM holds
+	StoreWrites  float64       // transactions a second that one part of the store takes
+	Grace        time.Duration // from SIGTERM until the process is killed
+	AddressReuse time.Duration // shortest time until another endpoint gets an address
 }
 
 // Gateway is one VM's request path.
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -162,6 +162,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			x.gateway.logShort(x.ask.ID, x.account.Name, tokens)
 			return &budgetShort
 		case <-x.request.Context().Done():
 			return &budgetShort
@@ -176,3 +177,12 @@
 	default:
 	}
 }
+
+// logShort logs what a refusal for lack of budget was decided on.
+func (g *Gateway) logShort(id, account string, tokens int64) {
+	g.state.mu.Lock()
+	b := g.state.book.Balance(account, time.Now())
+	g.state.mu.Unlock()
+	g.log.Info("budget short", "id", id, "account", account, "tokens", tokens, "granted", b.Granted, "committed", b.Committed,
+		"free", b.Free, "left", b.Left, "others", b.Others)
+}
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -24,8 +24,8 @@
 	RetryExtra   float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_RETRY_EXTRA"`
 	RetryWindow  time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_RETRY_WINDOW"`
 	Grace        time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_GRACE"`
-	Horizon      time.Duration `validate:"min=1s,max=1h" flag:"HAWTHORNSPAR_BUDGET_HORIZON"`
 	Report       time.Duration `validate:"min=100ms,max=1m" flag:"HAWTHORNSPAR_BUDGET_REPORT"`
+	StoreWrites  float64       `validate:"min=1,max=1000000" flag:"HAWTHORNSPAR_STORE_WRITES"`
 	AddressReuse time.Duration `validate:"min=0,max=10m" flag:"HAWTHORNSPAR_ADDRESS_REUSE"`
 	MemoryMB     int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
 	Verbosity    int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
