--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -43,6 +43,8 @@
 type Book struct {
 	policy      Policy
 	incarnation string
+	address     string
+	holdings    map[string]Holding // of the other VMs, by name
 	accounts    map[string]*account
 	sequence    int64
 	ready       bool // the predecessor's holding has been read
@@ -71,6 +73,7 @@
 	recent   int64   // tokens asked for since rated
 	mean     float64 // tokens of a usual request
 	wanted   int64   // tokens that a waiting request lacks
+	waiting  int64   // tokens of the largest waiting request
 	others   others
 }
 
@@ -100,9 +103,10 @@
 	return c.ms + now.Sub(c.at).Milliseconds()
 }
 
-// New returns the book of a VM's new incarnation.
-func New(incarnation string, p Policy) *Book {
-	return &Book{policy: p, incarnation: incarnation, accounts: map[string]*account{}}
+// New returns the book of a VM's new incarnation, which other VMs reach at an
+// IP:port.
+func New(incarnation, address string, p Policy) *Book {
+	return &Book{policy: p, incarnation: incarnation, address: address, accounts: map[string]*account{}}
 }
 
 // Clock takes what the store's clock showed in an answer that came now.
@@ -143,6 +147,7 @@
 	lacks := tokens - a.free(now)
 	if lacks > 0 {
 		a.wanted = max(a.wanted, lacks)
+		a.waiting = max(a.waiting, tokens)
 		b.dirty = true
 		return nil, false
 	}
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -18,6 +18,7 @@
 // Holding is the row of a VM.
 type Holding struct {
 	Incarnation string          `json:"incarnation"`
+	Address     string          `json:"address"`  // IP:port at which other VMs ask for tokens
 	Sequence    int64           `json:"sequence"` // of the VM's writes
 	StoreMs     int64           `json:"storeMs"`  // the store's clock when it was written, or earlier
 	Accounts    map[string]Held `json:"accounts"`
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -25,7 +25,8 @@
 }
 
 // Others takes the holdings of the other VMs. It only steers how much is drawn.
-func (b *Book) Others(holdings []Holding) {
+func (b *Book) Others(holdings map[string]Holding) {
+	b.holdings = holdings
 	b.vms = len(holdings) + 1
 	for name, a := range b.accounts {
 		a.others = others{}
@@ -106,7 +107,7 @@
 	}
 	t := &Transaction{Version: b.ownVersion}
 	t.Holding = Holding{
-		Incarnation: b.incarnation, Sequence: b.sequence + 1,
+		Incarnation: b.incarnation, Address: b.address, Sequence: b.sequence + 1,
 		StoreMs: b.clock.lower(now), Accounts: map[string]Held{},
 	}
 	for name, a := range b.accounts {
@@ -176,7 +177,7 @@
 	free := max(granted-committed, 0)
 	slow := max(slowFactor*a.rate, float64(free)/slowDrain.Seconds())
 	fast := max(fastFactor*a.rate, float64(free)/fastDrain.Seconds())
-	burst := int64(slow*burstSpan.Seconds()+a.mean) + a.wanted
+	burst := int64(slow*burstSpan.Seconds()+a.mean) + a.waiting
 	return Held{
 		Granted: granted, Spent: a.spent, Committed: committed,
 		Burst: min(burst, free), PerSecond: int64(slow), Later: int64(fast), Rate: int64(a.rate),
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -34,6 +34,7 @@
 	for ctx.Err() == nil {
 		err := k.step(ctx)
 		k.store.note(k.gateway, err)
+		k.gateway.storeLost.Store(err != nil)
 		if err != nil {
 			sleep(ctx, jitter(failPause))
 			continue
@@ -121,10 +122,10 @@
 	k.census = now
 	s.book.Clock(storeMs, now)
 	own := holdings[k.gateway.settings.Name]
-	var others []escrow.Holding
+	others := map[string]escrow.Holding{}
 	for name, h := range holdings {
 		if name != k.gateway.settings.Name {
-			others = append(others, h.Holding)
+			others[name] = h.Holding
 		}
 	}
 	s.book.Others(others)
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -59,4 +59,6 @@
 	Holdings(context.Context) (holdings map[string]escrow.VersionedHolding, storeMs int64, err error)
 	Transact(context.Context, *escrow.Transaction) (escrow.Outcome, error)
 	HistoryLost(error) bool
+	// Shared returns the fleet's value under a key; the first VM sets it.
+	Shared(ctx context.Context, key string, value []byte) ([]byte, error)
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -22,6 +22,7 @@
 	Domain       string // failure domain
 	Listen       string // IP:port for clients
 	Ready        string // IP:port for readiness checks
+	Peer         string // IP:port (UDP) for other VMs; empty for none
 	Metrics      string // IP:port for metrics; empty for none
 	Retries      retrybudget.Bound
 	BudgetReport time.Duration // time between writes of what a VM holds
@@ -41,8 +42,11 @@
 	metrics  *metrics.Registry
 	kick     chan struct{} // a request waits for budget
 	stopping atomic.Bool
-	buffered atomic.Int64 // bytes of request bodies in memory
-	server   *server
+	// storeLost says that the last transaction failed.
+	storeLost atomic.Bool
+	borrower  *borrower
+	buffered  atomic.Int64 // bytes of request bodies in memory
+	server    *server
 }
 
 // Option changes how a gateway is built.
@@ -61,6 +65,7 @@
 		o(g)
 	}
 	g.server = newServer(g)
+	g.borrower = newBorrower(g)
 	return g
 }
 
@@ -78,6 +83,8 @@
 	go registry.loop(work)
 	budget := &budgetKeeper{gateway: g}
 	go budget.loop(work)
+	peers := &peerOpener{gateway: g}
+	go peers.run(work)
 	upkeep := &upkeep{gateway: g}
 	go upkeep.loop(work)
 	<-ctx.Done()
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -159,6 +159,7 @@
 			return nil
 		}
 		x.gateway.wake()
+		x.gateway.borrower.ask(x.account.Name, tokens)
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -32,7 +32,7 @@
 func newState(s Settings) *state {
 	return &state{
 		domain: s.Domain, endpoints: endpoints.NewTable(),
-		book:    escrow.New(s.Incarnation, escrow.Policy{Report: s.BudgetReport}),
+		book:    escrow.New(s.Incarnation, s.Peer, escrow.Policy{Report: s.BudgetReport}),
 		granted: make(chan struct{}),
 		retries: retrybudget.New(s.Retries),
 		vms:     defaultVMs, random: globalRandom{},
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -18,6 +18,7 @@
 	Domain       string        `validate:"required,max=64" flag:"HAWTHORNSPAR_FAILURE_DOMAIN"`
 	Listen       string        `validate:"required,ipport" flag:"HAWTHORNSPAR_LISTEN"`
 	Ready        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_READY_LISTEN"`
+	Peer         string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_PEER_LISTEN"`
 	Metrics      string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_METRICS_LISTEN"`
 	Store        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_STORE"`
 	RetryRatio   float64       `validate:"min=0,max=10" flag:"HAWTHORNSPAR_RETRY_RATIO"`
