--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -44,7 +44,8 @@
 	policy      Policy
 	incarnation string
 	address     string
-	holdings    map[string]Holding // of the other VMs, by name
+	vm          string
+	snapshot    Snapshot
 	accounts    map[string]*account
 	sequence    int64
 	ready       bool // the predecessor's holding has been read
@@ -64,9 +65,11 @@
 	limited  bool
 	granted  int64
 	spent    int64
+	lent     int64
 	reserved int64
 	bounds   []bound
 	total    int64   // drawn by all VMs, as last read
+	unknown  int64   // drawn tokens that dead VMs may have spent
 	version  int64   // of the total's row; -1 when it has not been read
 	rate     float64 // tokens asked for in a second
 	rated    time.Time
@@ -105,8 +108,8 @@
 
 // New returns the book of a VM's new incarnation, which other VMs reach at an
 // IP:port.
-func New(incarnation, address string, p Policy) *Book {
-	return &Book{policy: p, incarnation: incarnation, address: address, accounts: map[string]*account{}}
+func New(vm, incarnation, address string, p Policy) *Book {
+	return &Book{policy: p, vm: vm, incarnation: incarnation, address: address, accounts: map[string]*account{}}
 }
 
 // Clock takes what the store's clock showed in an answer that came now.
@@ -172,7 +175,7 @@
 	b.dirty = true
 }
 
-func (a *account) committed() int64 { return a.spent + a.reserved }
+func (a *account) committed() int64 { return a.spent + a.lent + a.reserved }
 
 // free returns the tokens that may be reserved now.
 func (a *account) free(now time.Time) int64 {
@@ -199,6 +202,22 @@
 	a.rated = now
 }
 
+// Exhausted tells whether a request is known to need more than the account has
+// left, wherever the rest may be.
+func (b *Book) Exhausted(name string, tokens int64) bool {
+	a := b.accounts[name]
+	if a == nil || !a.limited || b.snapshot.Holdings == nil {
+		return false
+	}
+	return tokens > b.snapshot.spendable(name, a.prepaid)
+}
+
+// Undrawn tells whether the store, as last read, has tokens for a request.
+func (b *Book) Undrawn(name string, tokens int64) bool {
+	a := b.accounts[name]
+	return a != nil && a.prepaid-a.total >= tokens
+}
+
 // Balance is what a VM holds of one account, for logs.
 type Balance struct {
 	Granted   int64
--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -25,7 +25,7 @@
 	if given <= 0 {
 		return 0
 	}
-	a.spent += given
+	a.lent += given
 	b.dirty = true
 	return given
 }
@@ -61,10 +61,10 @@
 // Lenders returns the VMs that hold tokens of an account, the most first.
 func (b *Book) Lenders(name string) []Lender {
 	var lenders []Lender
-	for vm, h := range b.holdings {
-		free := h.Accounts[name].free()
-		if free > 0 && h.Address != "" {
-			lenders = append(lenders, Lender{VM: vm, Address: h.Address, Free: free})
+	for vm, h := range b.snapshot.Holdings {
+		free := h.Holding.Accounts[name].free()
+		if vm != b.vm && free > 0 && h.Holding.Address != "" {
+			lenders = append(lenders, Lender{VM: vm, Address: h.Holding.Address, Free: free})
 		}
 	}
 	sort.Slice(lenders, func(i, j int) bool { return lenders[i].Free > lenders[j].Free })
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -13,6 +13,8 @@
 // Total is the row of a client account.
 type Total struct {
 	Drawn int64 `json:"drawn"` // tokens drawn by VMs, less those returned
+	// Unknown are the drawn tokens that dead VMs may or may not have spent.
+	Unknown int64 `json:"unknown"`
 }
 
 // Holding is the row of a VM.
@@ -28,7 +30,8 @@
 type Held struct {
 	Granted   int64 `json:"granted"`   // tokens drawn, less those returned
 	Spent     int64 `json:"spent"`     // tokens of ended requests
-	Committed int64 `json:"committed"` // spent, and reserved by running requests
+	Lent      int64 `json:"lent"`      // tokens given to other VMs
+	Committed int64 `json:"committed"` // spent, lent, and reserved by running requests
 	Burst     int64 `json:"burst"`     // tokens that may be committed beyond at any time
 	PerSecond int64 `json:"perSecond"` // and for each second since, at first
 	Later     int64 `json:"later"`     // and for each second after slowSpan
@@ -59,7 +62,44 @@
 	return min(held.Granted, held.allowed(passed))
 }
 
+// doubtful returns the tokens that stay drawn after unspent ones are taken
+// back, and that the VM is not known to have spent.
+func (h Holding) doubtful(account string, storeMs int64) int64 {
+	held := h.Accounts[account]
+	return max(h.atMost(account, storeMs)-held.Spent-held.Lent, 0)
+}
+
 // unspent returns the tokens that the VM, known to be dead, cannot have used.
 func (h Holding) unspent(account string, storeMs int64) int64 {
 	return h.Accounts[account].Granted - h.atMost(account, storeMs)
 }
+
+// Snapshot is what the store held at one moment.
+type Snapshot struct {
+	Totals   map[string]VersionedTotal
+	Holdings map[string]VersionedHolding // by VM
+}
+
+// VersionedTotal is an account's row.
+type VersionedTotal struct {
+	Total   Total
+	Version int64
+}
+
+// VersionedHolding is a VM's row.
+type VersionedHolding struct {
+	Holding Holding
+	Version int64
+}
+
+// spendable returns the most tokens of an account that are not known to be
+// spent, of what the prepaid budget had when the snapshot was taken.
+func (s Snapshot) spendable(account string, prepaid int64) int64 {
+	t := s.Totals[account].Total
+	left := prepaid - t.Drawn + t.Unknown
+	for _, h := range s.Holdings {
+		held := h.Holding.Accounts[account]
+		left += held.Granted - held.Spent
+	}
+	return left
+}
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -24,14 +24,24 @@
 	Left    int64 // tokens that no VM has drawn afterwards
 }
 
-// Others takes the holdings of the other VMs. It only steers how much is drawn.
-func (b *Book) Others(holdings map[string]Holding) {
-	b.holdings = holdings
-	b.vms = len(holdings) + 1
+// Observe takes a snapshot of the whole store.
+func (b *Book) Observe(s Snapshot) {
+	b.snapshot = s
+	b.vms = len(s.Holdings)
+	if _, ok := s.Holdings[b.vm]; !ok {
+		b.vms++
+	}
+	b.readAll(s)
 	for name, a := range b.accounts {
+		if a.version < 0 {
+			a.version = 0 // the row does not exist yet
+		}
 		a.others = others{}
-		for _, h := range holdings {
-			held := h.Accounts[name]
+		for vm, h := range s.Holdings {
+			if vm == b.vm {
+				continue
+			}
+			held := h.Holding.Accounts[name]
 			a.others.free += held.free()
 			a.others.rate += float64(held.Rate)
 		}
@@ -51,6 +61,9 @@
 	}
 }
 
+// VMs returns the number of VMs with a holding, this one included.
+func (b *Book) VMs() int { return b.vms }
+
 // Ready tells whether Start was called.
 func (b *Book) Ready() bool { return b.ready }
 
@@ -58,19 +71,18 @@
 func (b *Book) ReadTotal(name string, t Total, version int64) {
 	a := b.account(name)
 	if version >= a.version {
-		a.total, a.version = t.Drawn, version
+		a.total, a.unknown, a.version = t.Drawn, t.Unknown, version
 	}
 }
 
-// Unread returns the limited accounts whose totals have not been read.
-func (b *Book) Unread() []string {
-	var names []string
-	for name, a := range b.accounts {
+// Unread tells whether the total of a limited account has not been read.
+func (b *Book) Unread() bool {
+	for _, a := range b.accounts {
 		if a.limited && a.version < 0 {
-			names = append(names, name)
+			return true
 		}
 	}
-	return names
+	return false
 }
 
 // Due tells whether a transaction is worth its write now: a request waits for
@@ -124,16 +136,17 @@
 
 func (b *Book) planAccount(t *Transaction, name string, a *account, now time.Time) {
 	a.measure(now)
-	grant, reclaimed := int64(0), int64(0)
+	grant, reclaimed, doubtful := int64(0), int64(0), int64(0)
 	if a.version >= 0 {
 		reclaimed = b.predecessor.unspent(name, b.clock.lower(now))
+		doubtful = b.predecessor.doubtful(name, b.clock.lower(now))
 		grant = a.change(b.vms, a.prepaid-a.total+reclaimed)
 	}
 	if b.closing {
 		grant = min(a.committed()-a.granted, 0)
 	}
-	if grant != 0 || reclaimed != 0 {
-		total := Total{Drawn: a.total - reclaimed + grant}
+	if grant != 0 || reclaimed != 0 || doubtful != 0 {
+		total := Total{Drawn: a.total - reclaimed + grant, Unknown: a.unknown + doubtful}
 		t.Totals = append(t.Totals, TotalChange{Account: name, Version: a.version, Total: total, Grant: grant, Reclaim: reclaimed, Left: a.prepaid - total.Drawn})
 	}
 	if grant < 0 {
@@ -179,7 +192,7 @@
 	fast := max(fastFactor*a.rate, float64(free)/fastDrain.Seconds())
 	burst := int64(slow*burstSpan.Seconds()+a.mean) + a.waiting
 	return Held{
-		Granted: granted, Spent: a.spent, Committed: committed,
+		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed,
 		Burst: min(burst, free), PerSecond: int64(slow), Later: int64(fast), Rate: int64(a.rate),
 	}
 }
@@ -198,7 +211,7 @@
 	for _, c := range t.Totals {
 		a := b.accounts[c.Account]
 		a.granted += max(c.Grant, 0)
-		a.total, a.version = c.Total.Drawn, version
+		a.total, a.unknown, a.version = c.Total.Drawn, c.Total.Unknown, version
 	}
 	b.settleBounds(t.Holding.Sequence)
 }
@@ -216,41 +229,29 @@
 	}
 }
 
-// Current is what the store's rows hold when a transaction's condition failed.
-type Current struct {
-	Totals  map[string]VersionedTotal
-	Holding Holding
-	Version int64 // of the VM's own row, 0 when it does not exist
-}
-
-// VersionedTotal is an account's row.
-type VersionedTotal struct {
-	Total   Total
-	Version int64
-}
-
 // Conflict takes the news that the pending transaction's condition failed.
 // When the VM's own row shows that an earlier send of the same transaction
 // was carried out, it counts as applied. Before the first own write a changed
 // row is the predecessor's last write, carried out late. It returns false when
 // another incarnation of this VM has taken over.
-func (b *Book) Conflict(c Current) bool {
+func (b *Book) Conflict(c Snapshot) bool {
 	t := b.pending
 	if t == nil {
 		return true
 	}
-	if c.Holding.Incarnation == b.incarnation && c.Holding.Sequence == t.Holding.Sequence {
-		b.Applied(c.Version)
+	own := c.Holdings[b.vm]
+	if own.Holding.Incarnation == b.incarnation && own.Holding.Sequence == t.Holding.Sequence {
+		b.Applied(own.Version)
 		b.readAll(c)
 		return true
 	}
 	b.pending = nil
 	b.undo(t)
-	if c.Version != b.ownVersion {
+	if own.Version != b.ownVersion {
 		if b.owned {
 			return false
 		}
-		b.Start(c.Holding, c.Version)
+		b.Start(own.Holding, own.Version)
 	}
 	b.readAll(c)
 	b.dirty = true
@@ -276,7 +277,7 @@
 	}
 }
 
-func (b *Book) readAll(c Current) {
+func (b *Book) readAll(c Snapshot) {
 	for name, v := range c.Totals {
 		b.ReadTotal(name, v.Total, v.Version)
 	}
@@ -288,17 +289,6 @@
 	b.dirty = true
 }
 
-// Short tells whether a request was refused or waits for lack of tokens since
-// the totals were read.
-func (b *Book) Short() bool {
-	for _, a := range b.accounts {
-		if a.wanted > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Unspent returns a copy of what each account has free, for reports.
 func (b *Book) Unspent(now time.Time) map[string]int64 {
 	free := map[string]int64{}
@@ -310,17 +300,11 @@
 	return free
 }
 
-// VersionedHolding is a VM's row.
-type VersionedHolding struct {
-	Holding Holding
-	Version int64
-}
-
 // Outcome is the store's answer to a transaction.
 type Outcome struct {
 	Applied bool
 	Version int64 // of the changed rows
 	StoreMs int64 // the store's clock
 	At      time.Time
-	Current Current // when it was not applied
+	Current Snapshot // of the conditions' rows, when it was not applied
 }
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -30,6 +30,9 @@
 	lendersAsked = 4
 	// lenderPause follows a question that failed.
 	lenderPause = 2 * time.Second
+	// dryPause follows questions that did not bring enough, about the time
+	// until the next reading of what others hold.
+	dryPause = 700 * time.Millisecond
 	// certificateLife is longer than any VM runs.
 	certificateLife = 365 * 24 * time.Hour
 	// authorityKey names the fleet's certificate authority in the store.
@@ -127,10 +130,11 @@
 	node    *peer.Node
 	busy    map[string]bool      // accounts
 	failed  map[string]time.Time // VMs that did not answer
+	dry     map[string]time.Time // accounts of which the others gave too little
 }
 
 func newBorrower(g *Gateway) *borrower {
-	return &borrower{gateway: g, busy: map[string]bool{}, failed: map[string]time.Time{}}
+	return &borrower{gateway: g, busy: map[string]bool{}, failed: map[string]time.Time{}, dry: map[string]time.Time{}}
 }
 
 func (b *borrower) use(n *peer.Node) {
@@ -143,7 +147,7 @@
 func (b *borrower) ask(account string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.node == nil || b.busy[account] {
+	if b.node == nil || b.busy[account] || time.Since(b.dry[account]) < dryPause {
 		return
 	}
 	b.busy[account] = true
@@ -171,6 +175,25 @@
 		}
 		q.borrow(l, need, want)
 	}
+	if need, _ := q.lack(); need > 0 {
+		q.borrower.markDry(q.account)
+	}
+}
+
+func (b *borrower) markDry(account string) {
+	b.mu.Lock()
+	b.dry[account] = time.Now()
+	b.mu.Unlock()
+	b.gateway.state.mu.Lock()
+	defer b.gateway.state.mu.Unlock()
+	b.gateway.state.bookChanged()
+}
+
+// isDry tells whether the other VMs lately had too little of an account.
+func (b *borrower) isDry(account string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(b.dry[account]) < dryPause
 }
 
 func (q *question) end() {
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -17,16 +17,13 @@
 	censusPeriod = 100 * time.Millisecond
 	// writeShare is the part of the store's write rate that budgets may use.
 	writeShare = 0.8
-	// shortPeriod is the time between reads of totals while budget is short.
-	shortPeriod = time.Second
 )
 
 // budgetKeeper carries the book's transactions to the store.
 type budgetKeeper struct {
 	gateway *Gateway
 	store   dependency
-	census  time.Time // of the last count of VMs
-	totals  time.Time // of the last read of totals
+	census  time.Time // of the last read of all rows
 }
 
 func (k *budgetKeeper) loop(ctx context.Context) {
@@ -73,73 +70,38 @@
 // read takes over from the predecessor and refreshes what is known of others.
 func (k *budgetKeeper) read(ctx context.Context) error {
 	s := k.gateway.state
-	now := time.Now()
 	s.mu.Lock()
-	unread := !s.book.Ready() || len(s.book.Unread()) > 0
-	short := s.book.Short() && now.Sub(k.totals) > shortPeriod
-	vms := s.vms
+	unread := !s.book.Ready() || s.book.Unread()
+	period := time.Duration(s.vms) * censusPeriod
 	s.mu.Unlock()
-	if unread || short {
-		if err := k.readTotals(ctx); err != nil {
-			return err
-		}
-	}
-	if unread || now.Sub(k.census) > time.Duration(vms)*censusPeriod {
-		return k.readHoldings(ctx)
+	if !unread && time.Since(k.census) < period {
+		return nil
 	}
-	return nil
-}
-
-func (k *budgetKeeper) readTotals(ctx context.Context) error {
-	totals, storeMs, err := k.gateway.store.Totals(ctx)
+	snapshot, storeMs, err := k.gateway.store.Budgets(ctx)
 	if err != nil {
 		return err
 	}
-	s := k.gateway.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	k.totals = now
-	s.book.Clock(storeMs, now)
-	for name, t := range totals {
-		s.book.ReadTotal(name, t.Total, t.Version)
-	}
-	for _, name := range s.book.Unread() {
-		s.book.ReadTotal(name, escrow.Total{}, 0)
-	}
+	k.census = time.Now()
+	k.observe(snapshot, storeMs)
 	return nil
 }
 
-func (k *budgetKeeper) readHoldings(ctx context.Context) error {
-	holdings, storeMs, err := k.gateway.store.Holdings(ctx)
-	if err != nil {
-		return err
-	}
+func (k *budgetKeeper) observe(snapshot escrow.Snapshot, storeMs int64) {
 	s := k.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	k.census = now
-	s.book.Clock(storeMs, now)
-	own := holdings[k.gateway.settings.Name]
-	others := map[string]escrow.Holding{}
-	for name, h := range holdings {
-		if name != k.gateway.settings.Name {
-			others[name] = h.Holding
-		}
-	}
-	s.book.Others(others)
-	count := len(others) + 1
-	if s.book.Ready() && count != s.vms {
-		k.gateway.log.Info("VMs counted", "vms", count, "before", s.vms)
-	}
+	s.book.Clock(storeMs, time.Now())
+	own := snapshot.Holdings[k.gateway.settings.Name]
+	s.book.Observe(snapshot)
+	count := s.book.VMs()
 	if !s.book.Ready() {
 		s.book.Start(own.Holding, own.Version)
-		s.vms = max(count, defaultVMs)
-		return nil
+		count = max(count, defaultVMs)
+	}
+	if count != s.vms {
+		k.gateway.log.Info("VMs counted", "vms", count, "before", s.vms)
 	}
 	s.vms = count
-	return nil
 }
 
 // write sends the transaction that is due.
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -55,8 +55,8 @@
 	WatchConfiguration(ctx context.Context, version int64, wait time.Duration) (*route.Document, int64, error)
 	Registry(context.Context) (endpoints.RegistryChange, int64, error)
 	WatchRegistry(ctx context.Context, version int64, wait time.Duration) (endpoints.RegistryChange, int64, error)
-	Totals(context.Context) (totals map[string]escrow.VersionedTotal, storeMs int64, err error)
-	Holdings(context.Context) (holdings map[string]escrow.VersionedHolding, storeMs int64, err error)
+	// Budgets also returns the store's clock in milliseconds.
+	Budgets(context.Context) (escrow.Snapshot, int64, error)
 	Transact(context.Context, *escrow.Transaction) (escrow.Outcome, error)
 	HistoryLost(error) bool
 	// Shared returns the fleet's value under a key; the first VM sets it.
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -244,6 +244,10 @@
 }
 
 func (x *exchange) refuse(r refusal) {
+	if r == clientLeft {
+		x.end("cutOff", r.reason)
+		panic(http.ErrAbortHandler)
+	}
 	x.end("refused", r.reason)
 	x.gateway.refuse(x.writer, x.ask.ID, r, x.left())
 }
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/escrow"
 	"hawthornspar/core/route"
 )
 
@@ -147,30 +148,52 @@
 		return nil
 	}
 	tokens := x.ask.PromptTokens + x.ask.OutputTokens
-	if tokens > *x.account.Prepaid {
-		return &budgetExhausted
-	}
 	timer := time.NewTimer(min(budgetWait, time.Until(x.deadline)/4))
 	defer timer.Stop()
 	for {
-		reservation, changed := x.gateway.state.reserve(x.account.Name, tokens)
+		reservation, changed, refused := x.gateway.tryReserve(x.account.Name, tokens)
+		if refused != nil {
+			x.gateway.logShort(x.ask.ID, x.account.Name, tokens)
+			return refused
+		}
 		if reservation != nil {
 			x.reservation = reservation
 			return nil
 		}
-		x.gateway.wake()
-		x.gateway.borrower.ask(x.account.Name, tokens)
 		select {
 		case <-changed:
 		case <-timer.C:
 			x.gateway.logShort(x.ask.ID, x.account.Name, tokens)
 			return &budgetShort
 		case <-x.request.Context().Done():
-			return &budgetShort
+			return &clientLeft
 		}
 	}
 }
 
+// tryReserve reserves, or refuses what cannot be had, or returns what is closed
+// when trying again is worth it.
+func (g *Gateway) tryReserve(account string, tokens int64) (*escrow.Reservation, <-chan struct{}, *refusal) {
+	s := g.state
+	s.mu.Lock()
+	reservation, ok := s.book.Reserve(account, tokens, time.Now())
+	changed := s.granted
+	exhausted := s.book.Exhausted(account, tokens)
+	undrawn := s.book.Undrawn(account, tokens) && !g.storeLost.Load()
+	s.mu.Unlock()
+	switch {
+	case ok:
+		return reservation, nil, nil
+	case exhausted:
+		return nil, nil, &budgetExhausted
+	case !undrawn && g.borrower.isDry(account):
+		return nil, nil, &budgetShort
+	}
+	g.wake()
+	g.borrower.ask(account, tokens)
+	return nil, changed, nil
+}
+
 // wake makes the budget keeper look at once.
 func (g *Gateway) wake() {
 	select {
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -32,7 +32,7 @@
 func newState(s Settings) *state {
 	return &state{
 		domain: s.Domain, endpoints: endpoints.NewTable(),
-		book:    escrow.New(s.Incarnation, s.Peer, escrow.Policy{Report: s.BudgetReport}),
+		book:    escrow.New(s.Name, s.Incarnation, s.Peer, escrow.Policy{Report: s.BudgetReport}),
 		granted: make(chan struct{}),
 		retries: retrybudget.New(s.Retries),
 		vms:     defaultVMs, random: globalRandom{},
@@ -118,18 +118,6 @@
 	return max(d.MaxConnections/max(s.vms, 1), 1)
 }
 
-// reserve asks for budget. When it lacks, changed is closed at the book's next
-// change.
-func (s *state) reserve(account string, tokens int64) (r *escrow.Reservation, changed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r, ok := s.book.Reserve(account, tokens, time.Now())
-	if !ok {
-		return nil, s.granted
-	}
-	return r, nil
-}
-
 func (s *state) settle(r *escrow.Reservation, used int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
