--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -227,11 +227,16 @@
 	if x.reservation == nil {
 		return
 	}
-	used := int64(0)
-	if x.attempts > 0 {
-		used = x.ask.PromptTokens + x.outputTokens()
+	x.gateway.state.settle(x.reservation, x.used())
+}
+
+// used returns the tokens that the request is billed: its prompt once, and the
+// output that the client was sent. An answer that never began is not billed.
+func (x *exchange) used() int64 {
+	if !x.relayed.begun {
+		return 0
 	}
-	x.gateway.state.settle(x.reservation, used)
+	return x.ask.PromptTokens + x.outputTokens()
 }
 
 // outputTokens returns the output that the client was sent, counted high.
@@ -271,5 +276,5 @@
 	}
 	x.gateway.metrics.Count("requests", outcome)
 	x.gateway.log.Info("ended", "id", x.ask.ID, "outcome", outcome, "reason", reason, "route", name, "account", account,
-		"configuration", x.version, "sends", x.sends, "attempts", x.attempts, "events", x.relayed.events, "ms", time.Since(x.arrived).Milliseconds())
+		"configuration", x.version, "sends", x.sends, "attempts", x.attempts, "events", x.relayed.events, "tokens", x.used(), "ms", time.Since(x.arrived).Milliseconds())
 }
