--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -59,7 +59,7 @@
 func gatewaySettings(s settings.Gateway) gateway.Settings {
 	return gateway.Settings{
 		Name: s.Name, Incarnation: uuid.NewString(), Domain: s.Domain,
-		Listen: s.Listen, Ready: s.Ready, Peer: s.Peer, Metrics: s.Metrics,
+		Listen: s.Listen, Ready: s.Ready, Peer: s.Peer, Control: s.Control, Seeds: s.Seeds, Metrics: s.Metrics,
 		Retries:      retrybudget.Bound{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		BudgetReport: s.Report,
 		Grace:        s.Grace, AddressReuse: s.AddressReuse,
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -111,6 +111,17 @@
 	return ids
 }
 
+// Registrations returns those of all endpoints that are not known to be gone.
+func (t *Table) Registrations() []Registration {
+	list := []Registration{}
+	for _, e := range t.byID {
+		if e.goneAt.IsZero() {
+			list = append(list, e.Registration)
+		}
+	}
+	return list
+}
+
 // Get returns a known endpoint, or nil.
 func (t *Table) Get(id string) *Endpoint { return t.byID[id] }
 
--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -70,3 +70,25 @@
 	sort.Slice(lenders, func(i, j int) bool { return lenders[i].Free > lenders[j].Free })
 	return lenders
 }
+
+// Peers returns the addresses of the other VMs.
+func (b *Book) Peers() []string {
+	var addresses []string
+	for vm, h := range b.snapshot.Holdings {
+		if vm != b.vm && h.Holding.Address != "" {
+			addresses = append(addresses, h.Holding.Address)
+		}
+	}
+	return addresses
+}
+
+// Snapshot returns what was last read of the whole store.
+func (b *Book) Snapshot() Snapshot { return b.snapshot }
+
+// Advise takes another VM's snapshot, which names lenders, as long as this VM
+// has none of its own.
+func (b *Book) Advise(s Snapshot) {
+	if !b.ready {
+		b.snapshot = s
+	}
+}
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -85,9 +86,11 @@
 		return nil, err
 	}
 	self := entity.VM{Name: g.settings.Name, Incarnation: g.settings.Incarnation, Address: g.settings.Peer, Domain: g.settings.Domain}
-	return peer.Listen(self, g.settings.Peer, mutual, http.HandlerFunc(g.serveLoan), func(inbox.Event) {}, g.log)
+	return peer.Listen(self, g.settings.Peer, mutual, http.HandlerFunc(g.servePeer), func(inbox.Event) {}, g.log)
 }
 
+// authority returns the fleet's certificate authority: from the store, or from
+// another VM that told it meanwhile.
 func (o *peerOpener) authority(ctx context.Context) (certificate.Pair, error) {
 	mine, err := certificate.NewAuthority(time.Now(), certificateLife)
 	if err != nil {
@@ -98,12 +101,18 @@
 		return certificate.Pair{}, errors.Wrap(err, "authority")
 	}
 	raw, err = o.gateway.store.Shared(ctx, authorityKey, raw)
+	if known := o.gateway.authority.Load(); known != nil {
+		return *known, nil
+	}
 	if err != nil {
 		return certificate.Pair{}, err
 	}
 	var shared certificate.Pair
-	err = json.Unmarshal(raw, &shared)
-	return shared, errors.Wrap(err, "authority")
+	if err := json.Unmarshal(raw, &shared); err != nil {
+		return certificate.Pair{}, errors.Wrap(err, "authority")
+	}
+	o.gateway.authority.Store(&shared)
+	return shared, nil
 }
 
 // serveLoan gives another VM tokens.
@@ -143,6 +152,27 @@
 	b.node = n
 }
 
+// client returns a client that speaks to other VMs.
+func (b *borrower) client() *http.Client {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &http.Client{Transport: b.node}
+}
+
+// anyPeer returns the address of some other VM; false when none is known or the
+// channel to them is not open.
+func (b *borrower) anyPeer() (string, bool) {
+	b.gateway.state.mu.Lock()
+	addresses := b.gateway.state.book.Peers()
+	b.gateway.state.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.node == nil || len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[rand.IntN(len(addresses))], true
+}
+
 // ask starts borrowing for a request, unless the account has it going already.
 func (b *borrower) ask(account string, tokens int64) {
 	b.mu.Lock()
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -73,6 +73,7 @@
 	for ctx.Err() == nil {
 		d, err := f.next(ctx)
 		f.store.note(f.gateway, err)
+		f.gateway.configurationLost.Store(err != nil)
 		if err != nil {
 			f.known = f.known && !f.gateway.store.HistoryLost(err)
 			sleep(ctx, jitter(failPause))
@@ -138,7 +139,7 @@
 			return err
 		}
 		f.version, f.known = version, true
-		f.gateway.replaceRegistry(change, f.goneAt())
+		f.gateway.replaceRegistry(change, version, f.goneAt())
 		return nil
 	}
 	change, version, err := f.gateway.store.WatchRegistry(ctx, f.version, watchWait)
@@ -146,7 +147,7 @@
 		return err
 	}
 	f.version = version
-	f.gateway.changeRegistry(change, f.goneAt())
+	f.gateway.changeRegistry(change, version, f.goneAt())
 	return nil
 }
 
@@ -159,8 +160,9 @@
 	return now
 }
 
-// replaceRegistry takes the whole registry; what is missing is gone.
-func (g *Gateway) replaceRegistry(c endpoints.RegistryChange, gone time.Time) {
+// replaceRegistry takes the whole registry as of a version of the store; what is
+// missing is gone.
+func (g *Gateway) replaceRegistry(c endpoints.RegistryChange, version int64, gone time.Time) {
 	g.state.mu.Lock()
 	present := map[string]bool{}
 	for _, r := range c.Put {
@@ -173,14 +175,15 @@
 	}
 	g.state.registry = true
 	g.state.mu.Unlock()
-	g.changeRegistry(c, gone)
+	g.changeRegistry(c, version, gone)
 }
 
 // changeRegistry takes changes of the registry.
-func (g *Gateway) changeRegistry(c endpoints.RegistryChange, gone time.Time) {
+func (g *Gateway) changeRegistry(c endpoints.RegistryChange, version int64, gone time.Time) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.registryVersion = max(s.registryVersion, version)
 	for _, id := range c.Unreadable {
 		g.log.Info("registration unreadable", "endpoint", id)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"hawthornspar/core/retrybudget"
+	"hawthornspar/io/certificate"
 	"hawthornspar/io/http1"
 	"hawthornspar/io/metrics"
 )
@@ -17,13 +19,15 @@
 
 // Settings are what a gateway is told at its start.
 type Settings struct {
-	Name         string // this VM's
-	Incarnation  string // unique for each start
-	Domain       string // failure domain
-	Listen       string // IP:port for clients
-	Ready        string // IP:port for readiness checks
-	Peer         string // IP:port (UDP) for other VMs; empty for none
-	Metrics      string // IP:port for metrics; empty for none
+	Name         string   // this VM's
+	Incarnation  string   // unique for each start
+	Domain       string   // failure domain
+	Listen       string   // IP:port for clients
+	Ready        string   // IP:port for readiness checks
+	Peer         string   // IP:port (UDP) for other VMs; empty for none
+	Control      string   // IP:port for VMs that have just started; empty for none
+	Seeds        []string // control addresses of other VMs, IP:port; may be down
+	Metrics      string   // IP:port for metrics; empty for none
 	Retries      retrybudget.Bound
 	BudgetReport time.Duration // time between writes of what a VM holds
 	StoreWrites  float64       // transactions a second that one part of the store takes
@@ -44,9 +48,12 @@
 	stopping atomic.Bool
 	// storeLost says that the last transaction failed.
 	storeLost atomic.Bool
-	borrower  *borrower
-	buffered  atomic.Int64 // bytes of request bodies in memory
-	server    *server
+	// configurationLost says that the last call for the configuration failed.
+	configurationLost atomic.Bool
+	authority         atomic.Pointer[certificate.Pair] // of the fleet; nil until known
+	borrower          *borrower
+	buffered          atomic.Int64 // bytes of request bodies in memory
+	server            *server
 }
 
 // Option changes how a gateway is built.
@@ -85,6 +92,8 @@
 	go budget.loop(work)
 	peers := &peerOpener{gateway: g}
 	go peers.run(work)
+	viewer := &viewer{gateway: g, client: &http.Client{}}
+	go viewer.loop(work)
 	upkeep := &upkeep{gateway: g}
 	go upkeep.loop(work)
 	<-ctx.Done()
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -84,6 +84,11 @@
 	if err := serveSide(s.gateway.settings.Ready, ready); err != nil {
 		return err
 	}
+	if s.gateway.settings.Control != "" {
+		if err := serveSide(s.gateway.settings.Control, http.HandlerFunc(s.gateway.serveControl)); err != nil {
+			return err
+		}
+	}
 	if s.gateway.settings.Metrics == "" {
 		return nil
 	}
@@ -95,8 +100,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	side := &handover{server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
-	serving := &sideServer{server: side.server, listener: l}
+	serving := &sideServer{listener: l, server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
 	go serving.run()
 	return nil
 }
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -18,11 +18,13 @@
 	table     *route.Table // nil until a configuration is known
 	endpoints *endpoints.Table
 	registry  bool // the registry has been read
-	book      *escrow.Book
-	granted   chan struct{} // closed when the book has changed
-	retries   *retrybudget.Budget
-	vms       int // VMs that share limits
-	random    endpoints.Random
+	// registryVersion is the store's version that the registry is known as of.
+	registryVersion int64
+	book            *escrow.Book
+	granted         chan struct{} // closed when the book has changed
+	retries         *retrybudget.Budget
+	vms             int // VMs that share limits
+	random          endpoints.Random
 }
 
 type globalRandom struct{}
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -4,6 +4,7 @@
 	"os"
 	"reflect"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -19,6 +20,8 @@
 	Listen       string        `validate:"required,ipport" flag:"HAWTHORNSPAR_LISTEN"`
 	Ready        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_READY_LISTEN"`
 	Peer         string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_PEER_LISTEN"`
+	Control      string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_CONTROL_LISTEN"`
+	Seeds        []string      `validate:"dive,ipport" flag:"HAWTHORNSPAR_SEEDS"`
 	Metrics      string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_METRICS_LISTEN"`
 	Store        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_STORE"`
 	RetryRatio   float64       `validate:"min=0,max=10" flag:"HAWTHORNSPAR_RETRY_RATIO"`
@@ -87,6 +90,9 @@
 	case string:
 		field.SetString(value)
 		return true
+	case []string:
+		field.Set(reflect.ValueOf(strings.Split(value, ",")))
+		return true
 	case time.Duration:
 		d, err := time.ParseDuration(value)
 		field.SetInt(int64(d))
