--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -19,23 +19,28 @@
 	// draws more or returns the rest.
 	drawBelow   = 0.9
 	returnAbove = 1.1
+	// smallestShare is the part of a prepaid budget below which no difference
+	// from the target is worth a write.
+	smallestShare = 0.001
 	// idleWeight is the weight of a VM without requests beside the mean one,
 	// as any VM may get the next request.
 	idleWeight = 0.25
+	// burstShare is the part of a prepaid budget that all VMs together may
+	// spend before they write their holdings again. What a dead VM may have
+	// spent of it is lost to the account.
+	burstShare = 0.01
+	// laterSpan is the spending at the rate of lately that may come at once
+	// after holdSpan.
+	laterSpan = time.Second
 	// slowFactor and fastFactor are how much faster than lately a VM may spend
-	// until it writes its holding again, at first and later.
-	slowFactor = 1.3
+	// then, and fastDrain empties a holding at the least fast speed.
+	slowFactor = 1.5
 	fastFactor = 3
-	// slowDrain and fastDrain empty a holding at the least allowed speeds.
-	slowDrain = 40 * time.Second
-	fastDrain = 8 * time.Second
-	// burstSpan is the spending at the slow speed that may come at once,
-	// besides one usual request.
-	burstSpan = 300 * time.Millisecond
+	fastDrain  = 8 * time.Second
+	// renewBelow is the part of the burst under which the holding is written.
+	renewBelow = 0.5
 	// rateSpan is the time constant of the measured rate.
 	rateSpan = 4 * time.Second
-	// meanWeight is the weight of one request in the usual size.
-	meanWeight = 0.1
 )
 
 // Book is a VM's view of all accounts. It decides; the caller carries its
@@ -52,6 +57,7 @@
 	owned       bool // the VM's own row was written by this incarnation
 	closing     bool
 	predecessor Holding
+	diedMs      int64 // the store's clock when the predecessor was dead for sure
 	ownVersion  int64
 	pending     *Transaction
 	clock       storeClock
@@ -73,10 +79,9 @@
 	version  int64   // of the total's row; -1 when it has not been read
 	rate     float64 // tokens asked for in a second
 	rated    time.Time
-	recent   int64   // tokens asked for since rated
-	mean     float64 // tokens of a usual request
-	wanted   int64   // tokens that a waiting request lacks
-	waiting  int64   // tokens of the largest waiting request
+	recent   int64 // tokens asked for since rated
+	wanted   int64 // tokens that a waiting request lacks
+	waiting  int64 // tokens of the largest waiting request
 	others   others
 }
 
@@ -156,7 +161,6 @@
 	}
 	a.reserved += tokens
 	a.recent += tokens
-	a.mean += meanWeight * (float64(tokens) - a.mean)
 	b.dirty = true
 	return &Reservation{account: a, tokens: tokens}, true
 }
@@ -186,6 +190,31 @@
 	return limit - a.committed()
 }
 
+// lifts returns the time until tokens may be reserved if the store stays out of
+// reach; false when they are not held.
+func (a *account) lifts(tokens int64, now time.Time) (time.Duration, bool) {
+	need := a.committed() + tokens
+	if need > a.granted {
+		return 0, false
+	}
+	longest := time.Duration(0)
+	for _, b := range a.bounds {
+		longest = max(longest, b.at.Add(b.held.until(need)).Sub(now))
+	}
+	return longest, true
+}
+
+// renew tells whether little is left of what may be spent before the next write.
+func (a *account) renew() bool {
+	for _, b := range a.bounds {
+		used := a.committed() - b.held.Committed
+		if b.held.Burst > 0 && float64(used) > (1-renewBelow)*float64(b.held.Burst) && a.granted > a.committed() {
+			return true
+		}
+	}
+	return false
+}
+
 // measure updates the rate of spending.
 func (a *account) measure(now time.Time) {
 	if a.rated.IsZero() {
@@ -235,3 +264,13 @@
 	}
 	return Balance{Granted: a.granted, Committed: a.committed(), Free: a.free(now), Left: a.prepaid - a.total, Others: a.others.free}
 }
+
+// Lifts returns the time until a request may be reserved if the store stays out
+// of reach; false when the VM does not hold enough for it.
+func (b *Book) Lifts(name string, tokens int64, now time.Time) (time.Duration, bool) {
+	a := b.accounts[name]
+	if a == nil {
+		return 0, false
+	}
+	return a.lifts(tokens, now)
+}
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -33,25 +33,56 @@
 	Lent      int64 `json:"lent"`      // tokens given to other VMs
 	Committed int64 `json:"committed"` // spent, lent, and reserved by running requests
 	Burst     int64 `json:"burst"`     // tokens that may be committed beyond at any time
-	PerSecond int64 `json:"perSecond"` // and for each second since, at first
-	Later     int64 `json:"later"`     // and for each second after slowSpan
+	Later     int64 `json:"later"`     // and from holdSpan on
+	PerSecond int64 `json:"perSecond"` // and for each second after it
+	Fast      int64 `json:"fast"`      // in place of PerSecond after fastSpan
 	Rate      int64 `json:"rate"`      // tokens that requests ask for in a second
 }
 
 // free returns the tokens that are neither spent nor reserved.
 func (h Held) free() int64 { return max(h.Granted-h.Committed, 0) }
 
-// slowSpan is how long a VM may go on only a little faster than before. A dead
-// VM mostly starts again within it, so little stays unaccounted for; in an
-// outage of the store the speed rises after it.
-const slowSpan = 2 * time.Second
+// Spans after a holding was written. A dead VM mostly starts again within the
+// first, so that little stays unaccounted for; a VM that lives and cannot reach
+// the store may spend more after each.
+const (
+	// holdSpan is how long only the burst may be spent.
+	holdSpan = 2 * time.Second
+	// fastSpan is the time after which the VM may spend fast.
+	fastSpan = 5 * time.Second
+)
 
 // allowed returns the most tokens that the VM may have committed a while after
 // it wrote the holding.
 func (h Held) allowed(passed time.Duration) int64 {
-	slow := min(passed, slowSpan).Milliseconds()
-	fast := max(passed-slowSpan, 0).Milliseconds()
-	return h.Committed + h.Burst + (h.PerSecond*slow+h.Later*fast)/1000
+	most := h.Committed + h.Burst
+	if passed < holdSpan {
+		return most
+	}
+	slow := (min(passed, fastSpan) - holdSpan).Milliseconds()
+	fast := max(passed-fastSpan, 0).Milliseconds()
+	return most + h.Later + (h.PerSecond*slow+h.Fast*fast)/1000
+}
+
+// until returns the time after the writing at which need tokens may be
+// committed.
+func (h Held) until(need int64) time.Duration {
+	if need <= h.Committed+h.Burst {
+		return 0
+	}
+	lacks := need - h.allowed(holdSpan)
+	if lacks <= 0 {
+		return holdSpan
+	}
+	if need <= h.allowed(fastSpan) {
+		return holdSpan + span(lacks, h.PerSecond)
+	}
+	return fastSpan + span(need-h.allowed(fastSpan), h.Fast)
+}
+
+// span returns the time in which tokens accrue, rounded up.
+func span(tokens, perSecond int64) time.Duration {
+	return time.Duration(tokens*1000/max(perSecond, 1)+1) * time.Millisecond
 }
 
 // atMost returns the most tokens that the VM can have committed when the
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -1,6 +1,9 @@
 package escrow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // totalsPerTransaction keeps a transaction, with a condition and a change for
 // each row, within the 100 entries that the store takes.
@@ -48,9 +51,10 @@
 	}
 }
 
-// Start takes the predecessor's holding, with its row's version, as read when
-// the store's clock showed storeMs. version is 0 when there is none.
-func (b *Book) Start(h Holding, version int64) {
+// Start takes the predecessor's holding, with its row's version; 0 when there is
+// none. The predecessor was dead when the store's clock showed diedMs.
+func (b *Book) Start(h Holding, version, diedMs int64) {
+	b.diedMs = diedMs
 	b.predecessor = h
 	b.sequence = h.Sequence
 	b.ownVersion = version
@@ -98,6 +102,9 @@
 		if a.wanted > 0 && (a.total < a.prepaid || a.granted-a.committed() >= a.wanted) {
 			return true
 		}
+		if a.limited && a.renew() {
+			return true
+		}
 	}
 	return now.Sub(b.reported) >= b.policy.Report && (b.dirty || b.unbalanced())
 }
@@ -138,8 +145,8 @@
 	a.measure(now)
 	grant, reclaimed, doubtful := int64(0), int64(0), int64(0)
 	if a.version >= 0 {
-		reclaimed = b.predecessor.unspent(name, b.clock.lower(now))
-		doubtful = b.predecessor.doubtful(name, b.clock.lower(now))
+		reclaimed = b.predecessor.unspent(name, b.diedMs)
+		doubtful = b.predecessor.doubtful(name, b.diedMs)
 		grant = a.change(b.vms, a.prepaid-a.total+reclaimed)
 	}
 	if b.closing {
@@ -152,7 +159,7 @@
 	if grant < 0 {
 		a.granted += grant
 	}
-	held := a.held(max(grant, 0))
+	held := a.held(max(grant, 0), b.vms)
 	a.wanted = 0
 	t.Holding.Accounts[name] = held
 	a.bounds = append(a.bounds, bound{sequence: t.Holding.Sequence, at: now, held: held})
@@ -164,36 +171,41 @@
 	left = max(left, 0)
 	free := a.granted - a.committed()
 	target := a.target(vms, left+free+a.others.free)
-	want := int64(0)
+	want := int64(target) - free
 	switch {
-	case float64(free) < drawBelow*target:
-		want = int64(target) - free
+	case math.Abs(float64(want)) < smallestShare*float64(a.prepaid):
+		want = 0
 	case float64(free) > returnAbove*target && a.wanted == 0:
-		return int64(target) - free
+		return want
+	case float64(free) > drawBelow*target:
+		want = 0
 	}
 	return min(max(want, a.wanted), left)
 }
 
 // target returns the free tokens that the VM should hold of those that no
-// request has: its share by the rates of all VMs.
+// request has.
 func (a *account) target(vms int, unspent int64) float64 {
+	return heldShare * float64(unspent) * a.weight(vms)
+}
+
+// weight returns the VM's share of an account by the rates of all VMs.
+func (a *account) weight(vms int) float64 {
 	total := a.rate + a.others.rate
 	idle := idleWeight*total/float64(vms) + 1 // not zero, so that shares exist
-	weight := (a.rate + idle) / (total + idle*float64(vms))
-	return heldShare * float64(unspent) * weight
+	return (a.rate + idle) / (total + idle*float64(vms))
 }
 
 // held returns the account's entry in a holding that gains grant.
-func (a *account) held(grant int64) Held {
+func (a *account) held(grant int64, vms int) Held {
 	committed := a.committed()
 	granted := a.granted + grant
 	free := max(granted-committed, 0)
-	slow := max(slowFactor*a.rate, float64(free)/slowDrain.Seconds())
+	burst := int64(burstShare*float64(a.prepaid)*a.weight(vms)) + a.waiting
 	fast := max(fastFactor*a.rate, float64(free)/fastDrain.Seconds())
-	burst := int64(slow*burstSpan.Seconds()+a.mean) + a.waiting
 	return Held{
-		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed,
-		Burst: min(burst, free), PerSecond: int64(slow), Later: int64(fast), Rate: int64(a.rate),
+		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, Rate: int64(a.rate),
+		Burst: min(burst, free), Later: int64(a.rate * laterSpan.Seconds()), PerSecond: int64(slowFactor * a.rate), Fast: int64(fast),
 	}
 }
 
@@ -251,7 +263,7 @@
 		if b.owned {
 			return false
 		}
-		b.Start(own.Holding, own.Version)
+		b.Start(own.Holding, own.Version, b.diedMs)
 	}
 	b.readAll(c)
 	b.dirty = true
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -77,16 +77,20 @@
 	if !unread && time.Since(k.census) < period {
 		return nil
 	}
+	asked := time.Now()
 	snapshot, storeMs, err := k.gateway.store.Budgets(ctx)
 	if err != nil {
 		return err
 	}
 	k.census = time.Now()
-	k.observe(snapshot, storeMs)
+	k.observe(snapshot, storeMs, asked)
 	return nil
 }
 
-func (k *budgetKeeper) observe(snapshot escrow.Snapshot, storeMs int64) {
+// observe takes a snapshot that was asked for at a time. The store's clock was
+// read after that, so it showed no more than storeMs less the time since the
+// start when this process began and its predecessor was dead.
+func (k *budgetKeeper) observe(snapshot escrow.Snapshot, storeMs int64, asked time.Time) {
 	s := k.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,7 +99,7 @@
 	s.book.Observe(snapshot)
 	count := s.book.VMs()
 	if !s.book.Ready() {
-		s.book.Start(own.Holding, own.Version)
+		s.book.Start(own.Holding, own.Version, storeMs-asked.Sub(k.gateway.started).Milliseconds())
 		count = max(count, defaultVMs)
 	}
 	if count != s.vms {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -54,6 +54,7 @@
 	borrower          *borrower
 	buffered          atomic.Int64 // bytes of request bodies in memory
 	server            *server
+	started           time.Time // of this process, or a little later
 }
 
 // Option changes how a gateway is built.
@@ -66,7 +67,7 @@
 func New(s Settings, st Store, d Dialect, p *http1.Pool, m *metrics.Registry, options ...Option) *Gateway {
 	g := &Gateway{
 		settings: s, store: st, dialect: d, pool: p, state: newState(s),
-		log: logr.Discard(), metrics: m, kick: make(chan struct{}, 1),
+		log: logr.Discard(), metrics: m, kick: make(chan struct{}, 1), started: time.Now(),
 	}
 	for _, o := range options {
 		o(g)
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -142,42 +142,72 @@
 // budgetWait bounds how long a request waits for its VM to draw budget.
 const budgetWait = 400 * time.Millisecond
 
+// liftShare is the part of a request's time that waiting for budget that is
+// held, but may not be spent yet, can take.
+const liftShare = 2
+
 // reserve sets aside the most that the request can use.
 func (x *exchange) reserve() *refusal {
 	if x.account == nil || x.account.Prepaid == nil {
 		return nil
 	}
 	tokens := x.ask.PromptTokens + x.ask.OutputTokens
-	timer := time.NewTimer(min(budgetWait, time.Until(x.deadline)/4))
-	defer timer.Stop()
+	until := x.arrived.Add(min(budgetWait, time.Until(x.deadline)/4))
 	for {
 		reservation, changed, refused := x.gateway.tryReserve(x.account.Name, tokens)
-		if refused != nil {
-			x.gateway.logShort(x.ask.ID, x.account.Name, tokens)
-			return refused
-		}
 		if reservation != nil {
 			x.reservation = reservation
 			return nil
 		}
-		select {
-		case <-changed:
-		case <-timer.C:
+		now := time.Now()
+		next, lifts := x.lifts(tokens, now)
+		if !lifts && (refused != nil || !now.Before(until)) {
 			x.gateway.logShort(x.ask.ID, x.account.Name, tokens)
-			return &budgetShort
-		case <-x.request.Context().Done():
+			if refused == nil {
+				refused = &budgetShort
+			}
+			return refused
+		}
+		if !lifts {
+			next = until
+		}
+		if !x.await(changed, next) {
 			return &clientLeft
 		}
 	}
 }
 
-// tryReserve reserves, or refuses what cannot be had, or returns what is closed
-// when trying again is worth it.
-func (g *Gateway) tryReserve(account string, tokens int64) (*escrow.Reservation, <-chan struct{}, *refusal) {
+// lifts returns when the VM's own bound on spending lets the request pass, if
+// that is early enough to be worth the wait.
+func (x *exchange) lifts(tokens int64, now time.Time) (time.Time, bool) {
+	s := x.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait, held := s.book.Lifts(x.account.Name, tokens, now)
+	at := now.Add(wait + time.Millisecond)
+	return at, held && at.Before(x.arrived.Add(x.deadline.Sub(x.arrived)/liftShare))
+}
+
+// await returns at a change or at a time; false when the client has left.
+func (x *exchange) await(changed <-chan struct{}, until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-x.request.Context().Done():
+		return false
+	}
+	return true
+}
+
+// tryReserve reserves, or says why not. changed is closed when trying again is
+// worth it.
+func (g *Gateway) tryReserve(account string, tokens int64) (r *escrow.Reservation, changed <-chan struct{}, refused *refusal) {
 	s := g.state
 	s.mu.Lock()
 	reservation, ok := s.book.Reserve(account, tokens, time.Now())
-	changed := s.granted
+	changed = s.granted
 	exhausted := s.book.Exhausted(account, tokens)
 	undrawn := s.book.Undrawn(account, tokens) && !g.storeLost.Load()
 	s.mu.Unlock()
@@ -185,9 +215,9 @@
 	case ok:
 		return reservation, nil, nil
 	case exhausted:
-		return nil, nil, &budgetExhausted
+		return nil, changed, &budgetExhausted
 	case !undrawn && g.borrower.isDry(account):
-		return nil, nil, &budgetShort
+		return nil, changed, &budgetShort
 	}
 	g.wake()
 	g.borrower.ask(account, tokens)
