--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -94,10 +94,11 @@
 }
 
 // doubtful returns the tokens that stay drawn after unspent ones are taken
-// back, and that the VM is not known to have spent.
+// back, and that the VM is not known to have spent. What it lent is doubtful
+// too, as the answer to the borrower may have been lost.
 func (h Holding) doubtful(account string, storeMs int64) int64 {
 	held := h.Accounts[account]
-	return max(h.atMost(account, storeMs)-held.Spent-held.Lent, 0)
+	return max(h.atMost(account, storeMs)-held.Spent, 0)
 }
 
 // unspent returns the tokens that the VM, known to be dead, cannot have used.
--- /dev/null
+++ b/core/retrybudget/retrybudget_test.go
@@ -0,0 +1,48 @@
+package retrybudget
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Budget", func() {
+	bound := Bound{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+
+	for _, c := range []struct {
+		name     string
+		vms      int
+		requests int // at each VM
+	}{
+		{"a burst of failures without much traffic", 8, 3},
+		{"all VMs see the same burst", 8, 200},
+		{"many small VMs", 83, 10},
+	} {
+		It("keeps the fleet's bound when "+c.name, func() {
+			now := time.Unix(1_000, 0)
+			taken := 0
+			for range c.vms {
+				b := New(bound)
+				for range c.requests {
+					b.Request("models", now)
+				}
+				for b.Take("models", c.vms, now) {
+					taken++
+				}
+			}
+			allowed := bound.Ratio*float64(c.vms*c.requests) + bound.Extra
+			Expect(float64(taken)).To(BeNumerically("<=", allowed))
+		})
+	}
+
+	It("forgets what has left the window, also after a long pause", func() {
+		b := New(bound)
+		now := time.Unix(1_000, 0)
+		for b.Take("models", 1, now) {
+		}
+		Expect(b.Take("models", 1, now.Add(5*time.Second))).To(BeFalse())
+		Expect(b.Take("models", 1, now.Add(12*time.Second))).To(BeTrue())
+		Expect(b.Take("models", 1, now.Add(time.Hour))).To(BeTrue())
+	})
+})
