--- a/cmd/hawthornspar/main.go
+++ b/cmd/hawthornspar/main.go
@@ -45,7 +45,7 @@
 		},
 		Commands: []*cli.Command{
 			keysCommand(), operatorCommand(), accountCommand(), serviceCommand(), rankCommand(),
-			endpointCommand(), quarantineCommand(), configCommand(), queryCommand(), doCommand(),
+			endpointCommand(), quarantineCommand(), configCommand(), queryCommand(), doCommand(), explainCommand(),
 		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -34,8 +34,20 @@
 	return &cli.Command{Name: "gateway", Usage: "serve clients on the users' platform", Flags: []cli.Flag{file}, Action: runGateway}
 }
 
+// checkCommand reads a settings file and says what is wrong with it.
+func checkCommand() *cli.Command {
+	return &cli.Command{Name: "check", Usage: "check a gateway's settings file", ArgsUsage: "FILE", Action: func(_ context.Context, c *cli.Command) error {
+		w := &settings.Watcher{Path: c.Args().First()}
+		_, err := w.Start()
+		return err
+	}}
+}
+
 func runGateway(ctx context.Context, c *cli.Command) error {
-	s, err := settings.ReadGateway(c.String("settings"))
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	watcher := &settings.Watcher{Path: c.String("settings"), Hangup: hangup}
+	s, err := watcher.Start()
 	if err != nil {
 		return err
 	}
@@ -51,8 +63,11 @@
 	}
 	dialer := http1.NewDialer()
 	store := platform.NewClient(s.Store, s.Name, dialer)
-	log := daemon.NewLog(logline.NewWriter(os.Stdout), s.Verbosity)
+	log := daemon.NewLog(logline.NewWriter(os.Stdout), s.Verbosity).WithValues("vm", s.Name)
 	g := gateway.New(gatewaySettings(s), store, platform.Headers{}, http1.NewPool(dialer), counts, gateway.WithLog(log))
+	watcher.Log = log
+	watcher.Apply = func(next settings.Gateway) { g.Reload(gatewaySettings(next)) }
+	watcher.Watch(ctx)
 	return g.Run(ctx)
 }
 
--- a/cmd/hawthornspard/main.go
+++ b/cmd/hawthornspard/main.go
@@ -38,7 +38,7 @@
 	command := &cli.Command{
 		Name: "hawthornspard", Usage: "router for prepaid token budgets",
 		Description: description, Flags: settings.Flags(), Action: run,
-		Commands: []*cli.Command{gatewayCommand()},
+		Commands: []*cli.Command{gatewayCommand(), checkCommand()},
 	}
 	err := command.Run(context.Background(), os.Args)
 	if err == nil {
--- a/core/endpoints/choose_test.go
+++ b/core/endpoints/choose_test.go
@@ -65,7 +65,9 @@
 		do   func(*Table)
 		want int // endpoints that take new work
 	}{
-		{"draining", func(t *Table) { t.Put(Registration{ID: "e0", Service: "models", Address: "10.0.0.0:80", Draining: true}) }, 1},
+		{"draining", func(t *Table) {
+			t.Put(Registration{ID: "e0", Service: "models", Address: "10.0.0.0:80", Draining: true})
+		}, 1},
 		{"expired", func(t *Table) { t.Expire("e0", start) }, 1},
 		{"expired while the store was away, still in its grace", func(t *Table) { t.Expire("e0", start.Add(time.Second)) }, 2},
 		{"another instance at the address", func(t *Table) { t.Get("e0").Begin(work("a"), start).End(Misdirected, start) }, 1},
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -30,7 +30,9 @@
 // Send is an own request at an endpoint.
 type Send struct {
 	Endpoint *Endpoint
-	tokens   int64
+	Running  int   // own requests at the endpoint when it was chosen
+	Tokens   int64 // of the prompt that the endpoint is expected to read
+	Registry int64 // version of the registry that it was chosen by
 	first    bool
 	ended    bool
 }
@@ -38,6 +40,7 @@
 // Begin counts a send.
 func (e *Endpoint) Begin(w Work, now time.Time) *Send {
 	tokens := w.Prompt - e.cached(w, false, now)
+	s := &Send{Endpoint: e, Running: e.running, Tokens: tokens}
 	e.running++
 	e.prefilling += tokens
 	if len(e.parts) > partsKept {
@@ -46,7 +49,7 @@
 	for _, p := range w.shared() {
 		e.parts[p.ID] = now
 	}
-	return &Send{Endpoint: e, tokens: tokens}
+	return s
 }
 
 // First counts the first piece of the answer: the prompt has been read.
@@ -55,7 +58,7 @@
 		return
 	}
 	s.first = true
-	s.Endpoint.prefilling -= s.tokens
+	s.Endpoint.prefilling -= s.Tokens
 }
 
 // End counts the end of a send. It tells whether the endpoint is newly
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -34,6 +34,14 @@
 // New returns an empty budget.
 func New(b Bound) *Budget { return &Budget{bound: b, services: map[string]*window{}} }
 
+// SetBound changes the bound. A new window forgets what was counted.
+func (b *Budget) SetBound(to Bound) {
+	if to.Window != b.bound.Window {
+		b.services = map[string]*window{}
+	}
+	b.bound = to
+}
+
 // Request counts a client's request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	w := b.window(service, now)
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -46,7 +46,7 @@
 	k.gateway.state.mu.Lock()
 	vms := k.gateway.state.vms
 	k.gateway.state.mu.Unlock()
-	spacing := time.Duration(float64(vms) / (writeShare * k.gateway.settings.StoreWrites) * float64(time.Second))
+	spacing := time.Duration(float64(vms) / (writeShare * k.gateway.reloaded.Load().StoreWrites) * float64(time.Second))
 	sleep(ctx, spacing)
 	t := time.NewTimer(budgetTick)
 	defer t.Stop()
@@ -120,6 +120,7 @@
 	t := s.book.Plan(now)
 	s.mu.Unlock()
 	outcome, err := k.gateway.store.Transact(ctx, t)
+	k.gateway.metrics.Time("store_seconds", "transact", time.Since(now))
 	if err != nil {
 		return err
 	}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -86,6 +86,8 @@
 		return done, x.giveUp(last)
 	}
 	x.tried[send.Endpoint.ID] = true
+	x.gateway.log.Info("sent", "id", x.ask.ID, "endpoint", send.Endpoint.ID, "service", x.service, "running", send.Running, "uncached", send.Tokens,
+		"registry", send.Registry, "left", time.Until(x.deadline).Milliseconds())
 	outcome, next, refused := x.send(ctx, send)
 	if x.request.Context().Err() != nil {
 		outcome = endpoints.Unreached
@@ -275,6 +277,7 @@
 		account = x.account.Name
 	}
 	x.gateway.metrics.Count("requests", outcome)
+	x.gateway.metrics.Time("request_seconds", outcome, time.Since(x.arrived))
 	x.gateway.log.Info("ended", "id", x.ask.ID, "outcome", outcome, "reason", reason, "route", name, "account", account,
 		"configuration", x.version, "sends", x.sends, "attempts", x.attempts, "events", x.relayed.events, "tokens", x.used(), "ms", time.Since(x.arrived).Milliseconds())
 }
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -148,7 +148,7 @@
 		answer, err := v.exchange(ctx, "https://"+address, v.gateway.borrower.client())
 		return answer, address, err
 	}
-	seeds := v.gateway.settings.Seeds
+	seeds := v.gateway.reloaded.Load().Seeds
 	if len(seeds) == 0 {
 		return view{}, "", errors.WithStack(&NoPeerError{})
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -52,6 +52,7 @@
 	configurationLost atomic.Bool
 	authority         atomic.Pointer[certificate.Pair] // of the fleet; nil until known
 	borrower          *borrower
+	reloaded          atomic.Pointer[Reloadable]
 	buffered          atomic.Int64 // bytes of request bodies in memory
 	server            *server
 	started           time.Time // of this process, or a little later
@@ -69,6 +70,7 @@
 		settings: s, store: st, dialect: d, pool: p, state: newState(s),
 		log: logr.Discard(), metrics: m, kick: make(chan struct{}, 1), started: time.Now(),
 	}
+	g.reloaded.Store(&Reloadable{Grace: s.Grace, Seeds: s.Seeds, StoreWrites: s.StoreWrites})
 	for _, o := range options {
 		o(g)
 	}
@@ -79,6 +81,9 @@
 
 // Run serves until the context ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
+	if err := g.metrics.Gauge("configuration_version", func() int64 { return g.state.versions().Configuration }); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
@@ -101,3 +106,19 @@
 	g.stop(budget)
 	return nil
 }
+
+// Reload takes the settings that a running process can change: the retry
+// budget, the grace, seeds and the store's write rate.
+func (g *Gateway) Reload(s Settings) {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.state.retries.SetBound(s.Retries)
+	g.reloaded.Store(&Reloadable{Grace: s.Grace, Seeds: s.Seeds, StoreWrites: s.StoreWrites})
+}
+
+// Reloadable are the settings that can change while the process runs.
+type Reloadable struct {
+	Grace       time.Duration
+	Seeds       []string
+	StoreWrites float64
+}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -85,6 +85,7 @@
 		return
 	}
 	x.relayed.begun = true
+	x.gateway.metrics.Time("first_piece_seconds", x.route.Kind.String(), time.Since(x.arrived))
 	h := x.writer.Header()
 	stopping := h.Get("Connection")
 	dropHopHeaders(response.Header)
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -152,6 +152,8 @@
 		return nil
 	}
 	tokens := x.ask.PromptTokens + x.ask.OutputTokens
+	begun := time.Now()
+	defer func() { x.gateway.metrics.Time("budget_wait_seconds", "reserve", time.Since(begun)) }()
 	until := x.arrived.Add(min(budgetWait, time.Until(x.deadline)/4))
 	for {
 		reservation, changed, refused := x.gateway.tryReserve(x.account.Name, tokens)
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -78,7 +78,9 @@
 	if e == nil {
 		return nil
 	}
-	return e.Begin(w, now)
+	send := e.Begin(w, now)
+	send.Registry = s.registryVersion
+	return send
 }
 
 func (s *state) first(send *endpoints.Send) {
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -17,13 +17,13 @@
 // stop ends gracefully: not ready at once, kept connections are told to close,
 // running requests end by themselves, budget is returned.
 func (g *Gateway) stop(b *budgetKeeper) {
-	begun := time.Now()
+	begun, grace := time.Now(), g.reloaded.Load().Grace
 	g.stopping.Store(true)
-	g.log.Info("stopping", "grace", g.settings.Grace)
+	g.log.Info("stopping", "grace", grace)
 	time.Sleep(unreadyFor)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.settings.Grace-finalWrite))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-finalWrite))
 	defer cancel()
 	err := g.server.shutdown(ctx)
-	b.close(g.settings.Grace - time.Since(begun))
+	b.close(grace - time.Since(begun))
 	g.log.Info("stopped", "took", time.Since(begun), "cutOff", err != nil)
 }
--- /dev/null
+++ b/io/logline/story/story_test.go
@@ -0,0 +1,49 @@
+package story
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "story")
+}
+
+const logs = `vm-b 1.2 "ts"="2026-01-01T00:00:03.000Z" "level"=0 "msg"="budget drawn" "vm"="b" "account"="acme" "left"=0
+"ts"="2026-01-01T00:00:01.000Z" "level"=0 "msg"="configuration" "vm"="a" "version"=3
+"ts"="2026-01-01T00:00:02.000Z" "level"=0 "msg"="configuration" "vm"="a" "version"=4
+"ts"="2026-01-01T00:00:02.500Z" "level"=0 "msg"="endpoint avoided" "vm"="a" "endpoint"="e1" "request"="r0" "reason"="unreachable"
+"ts"="2026-01-01T00:00:04.000Z" "level"=0 "msg"="ended" "vm"="a" "id"="r1" "outcome"="refused" "reason"="outcomeUnknown" "account"="acme"
+"ts"="2026-01-01T00:00:03.500Z" "level"=0 "msg"="sent" "vm"="a" "id"="r1" "endpoint"="e1"
+"ts"="2026-01-01T00:00:05.000Z" "level"=0 "msg"="configuration" "vm"="a" "version"=5
+"ts"="2026-01-01T00:00:03.600Z" "level"=0 "msg"="answer lost" "vm"="a" "id"="r1" "error"="no answer: \"EOF\"" "attempts"=1
+`
+
+func messages(lines []Line) []string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Fields["msg"]+" "+l.Fields["version"])
+	}
+	return out
+}
+
+var _ = Describe("Tell", func() {
+	It("orders the request's lines and shows what its VM believed", func() {
+		s, err := Tell(strings.NewReader(logs), "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(messages(s.Lines)).To(Equal([]string{"sent ", "answer lost ", "ended "}))
+		Expect(messages(s.State)).To(Equal([]string{"configuration 4", "endpoint avoided "}))
+		Expect(s.Lines[1].Fields["error"]).To(Equal(`no answer: \"EOF\"`))
+		Expect(s.Lines[1].Fields["attempts"]).To(Equal("1"))
+	})
+
+	It("says nothing of an unknown request", func() {
+		s, err := Tell(strings.NewReader(logs), "r9")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Lines).To(BeEmpty())
+	})
+})
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,7 @@
 	handler  http.Handler
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
+	times    map[string]metric.Float64Histogram
 }
 
 // New returns a registry with its own Prometheus exporter.
@@ -38,6 +40,7 @@
 		meter:    provider.Meter("hawthornspar"),
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		counters: map[string]metric.Int64Counter{},
+		times:    map[string]metric.Float64Histogram{},
 	}, nil
 }
 
@@ -60,6 +63,36 @@
 	c.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// timeBuckets are the bounds of latency histograms, in seconds: from a round
+// trip inside a region to the longest deadlines.
+var timeBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 15}
+
+// Time adds a duration to a latency histogram under a kind.
+func (r *Registry) Time(histogram, kind string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.times[histogram]
+	if !ok {
+		made, err := r.meter.Float64Histogram("hawthornspar_"+histogram, metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(timeBuckets...))
+		if err != nil {
+			return
+		}
+		h = made
+		r.times[histogram] = h
+	}
+	h.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// Gauge shows a value that read returns, such as a version.
+func (r *Registry) Gauge(name string, read func() int64) error {
+	_, err := r.meter.Int64ObservableGauge("hawthornspar_"+name, metric.WithInt64Callback(
+		func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrap(err, "metric "+name)
+}
+
 // Observe shows a value that read returns.
 func (r *Registry) Observe(name string, read func() int64) error {
 	_, err := r.meter.Int64ObservableCounter("hawthornspar_"+name, metric.WithInt64Callback(
--- a/io/settings/describe.go
+++ b/io/settings/describe.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strings"
 
 	"github.com/go-playground/validator/v10"
 )
@@ -24,7 +25,8 @@
 // describe names a wrong setting of the struct t by its flag, without its value when that is
 // a secret.
 func describe(t reflect.Type, f validator.FieldError) string {
-	field, _ := t.FieldByName(f.StructField())
+	structField, _, _ := strings.Cut(f.StructField(), "[") // an entry of a list
+	field, _ := t.FieldByName(structField)
 	name := field.Tag.Get("flag")
 	for _, r := range rules {
 		if r.tag != f.Tag() {
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"os"
 	"reflect"
 	"strconv"
 	"strings"
@@ -21,30 +20,20 @@
 	Ready        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_READY_LISTEN"`
 	Peer         string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_PEER_LISTEN"`
 	Control      string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_CONTROL_LISTEN"`
-	Seeds        []string      `validate:"dive,ipport" flag:"HAWTHORNSPAR_SEEDS"`
+	Seeds        []string      `validate:"dive,ipport" flag:"HAWTHORNSPAR_SEEDS" reload:"yes"`
 	Metrics      string        `validate:"omitempty,ipport" flag:"HAWTHORNSPAR_METRICS_LISTEN"`
 	Store        string        `validate:"required,ipport" flag:"HAWTHORNSPAR_STORE"`
-	RetryRatio   float64       `validate:"min=0,max=10" flag:"HAWTHORNSPAR_RETRY_RATIO"`
-	RetryExtra   float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_RETRY_EXTRA"`
-	RetryWindow  time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_RETRY_WINDOW"`
-	Grace        time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_GRACE"`
+	RetryRatio   float64       `validate:"min=0,max=10" flag:"HAWTHORNSPAR_RETRY_RATIO" reload:"yes"`
+	RetryExtra   float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_RETRY_EXTRA" reload:"yes"`
+	RetryWindow  time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_RETRY_WINDOW" reload:"yes"`
+	Grace        time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_GRACE" reload:"yes"`
 	Report       time.Duration `validate:"min=100ms,max=1m" flag:"HAWTHORNSPAR_BUDGET_REPORT"`
-	StoreWrites  float64       `validate:"min=1,max=1000000" flag:"HAWTHORNSPAR_STORE_WRITES"`
+	StoreWrites  float64       `validate:"min=1,max=1000000" flag:"HAWTHORNSPAR_STORE_WRITES" reload:"yes"`
 	AddressReuse time.Duration `validate:"min=0,max=10m" flag:"HAWTHORNSPAR_ADDRESS_REUSE"`
 	MemoryMB     int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
 	Verbosity    int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
 }
 
-// ReadGateway reads and checks a settings file. A wrong setting gives an
-// *Error that names all of them.
-func ReadGateway(path string) (Gateway, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Gateway{}, errors.Wrap(err, "settings")
-	}
-	return ParseGateway(raw)
-}
-
 // ParseGateway reads and checks the text of a settings file.
 func ParseGateway(raw []byte) (Gateway, error) {
 	values, err := godotenv.UnmarshalBytes(raw)
--- /dev/null
+++ b/io/settings/gateway_test.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const gatewayFile = `HAWTHORNSPAR_NAME=vm1
+HAWTHORNSPAR_FAILURE_DOMAIN=north
+HAWTHORNSPAR_LISTEN=10.0.0.1:8080
+HAWTHORNSPAR_READY_LISTEN=10.0.0.1:8081
+HAWTHORNSPAR_STORE=10.0.0.9:7000
+HAWTHORNSPAR_STORE_WRITES=200
+HAWTHORNSPAR_SEEDS=10.0.0.1:9000,10.0.0.2:9000
+HAWTHORNSPAR_RETRY_RATIO=0.2
+HAWTHORNSPAR_RETRY_EXTRA=56
+HAWTHORNSPAR_RETRY_WINDOW=10s
+HAWTHORNSPAR_GRACE=8s
+HAWTHORNSPAR_BUDGET_REPORT=500ms
+`
+
+var _ = Describe("ParseGateway", func() {
+	It("reads a file", func() {
+		g, err := ParseGateway([]byte(gatewayFile + "SOMETHING_NEW=1\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.Seeds).To(HaveLen(2))
+		Expect(g.RetryWindow).To(Equal(10 * time.Second))
+	})
+
+	for _, c := range []struct{ name, from, to, want string }{
+		{"missing", "HAWTHORNSPAR_NAME=vm1\n", "", "HAWTHORNSPAR_NAME is missing"},
+		{"a host name", "10.0.0.9:7000", "store:7000", "HAWTHORNSPAR_STORE must be an IP number"},
+		{"no unit", "GRACE=8s", "GRACE=8", "HAWTHORNSPAR_GRACE cannot be read"},
+		{"out of range", "WINDOW=10s", "WINDOW=1ms", "HAWTHORNSPAR_RETRY_WINDOW must be at least 1s"},
+		{"one bad of a list", "10.0.0.2:9000", "nowhere", "HAWTHORNSPAR_SEEDS"},
+	} {
+		It("names a wrong field: "+c.name, func() {
+			_, err := ParseGateway([]byte(strings.Replace(gatewayFile, c.from, c.to, 1)))
+			Expect(err).To(MatchError(ContainSubstring(c.want)))
+		})
+	}
+
+	It("tells what a reload changes and what needs a restart", func() {
+		before, err := ParseGateway([]byte(gatewayFile))
+		Expect(err).NotTo(HaveOccurred())
+		after := before
+		after.RetryExtra, after.Listen = 90, "10.0.0.1:1"
+		inForce, later := Changes(before, after)
+		Expect(inForce).To(ConsistOf("HAWTHORNSPAR_RETRY_EXTRA"))
+		Expect(later).To(ConsistOf("HAWTHORNSPAR_LISTEN"))
+	})
+})
