--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -263,10 +263,10 @@
 		q.borrower.mu.Lock()
 		q.borrower.failed[l.VM] = time.Now()
 		q.borrower.mu.Unlock()
-		g.log.Info("lender lost", "vm", l.VM, "error", err.Error())
+		g.log.Info("lender lost", "lender", l.VM, "error", err.Error())
 		return
 	}
-	g.log.Info("budget borrowed", "account", q.account, "vm", l.VM, "need", need, "given", given)
+	g.log.Info("budget borrowed", "account", q.account, "lender", l.VM, "need", need, "given", given)
 	if given == 0 {
 		return
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -87,7 +87,7 @@
 	if err := g.server.listen(); err != nil {
 		return err
 	}
-	g.log.Info("started", "vm", g.settings.Name, "incarnation", g.settings.Incarnation, "listen", g.settings.Listen)
+	g.log.Info("started", "incarnation", g.settings.Incarnation, "listen", g.settings.Listen)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	configuration := &configurationFollower{gateway: g}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -142,9 +142,28 @@
 // budgetWait bounds how long a request waits for its VM to draw budget.
 const budgetWait = 400 * time.Millisecond
 
-// liftShare is the part of a request's time that waiting for budget that is
-// held, but may not be spent yet, can take.
-const liftShare = 2
+// Bounds of waiting for budget that is held, but may not be spent yet.
+const (
+	// liftShare is the part of a request's time that it can take.
+	liftShare = 0.5
+	// leaveShare is the part of the time after which clients give up a stream
+	// that has not begun.
+	leaveShare = 0.7
+)
+
+// leavesAfter returns how long clients wait for the first event of a stream.
+func leavesAfter(r *route.Route) time.Duration {
+	return max(2*time.Second, 4*r.FirstTarget, 8*r.PauseTarget)
+}
+
+// liftLimit returns how long a request may wait for its VM's bound to lift.
+func (x *exchange) liftLimit() time.Duration {
+	limit := time.Duration(liftShare * float64(x.deadline.Sub(x.arrived)))
+	if x.route.Kind.Stream() {
+		limit = min(limit, time.Duration(leaveShare*float64(leavesAfter(x.route))))
+	}
+	return limit
+}
 
 // reserve sets aside the most that the request can use.
 func (x *exchange) reserve() *refusal {
@@ -187,7 +206,7 @@
 	defer s.mu.Unlock()
 	wait, held := s.book.Lifts(x.account.Name, tokens, now)
 	at := now.Add(wait + time.Millisecond)
-	return at, held && at.Before(x.arrived.Add(x.deadline.Sub(x.arrived)/liftShare))
+	return at, held && at.Before(x.arrived.Add(x.liftLimit()))
 }
 
 // await returns at a change or at a time; false when the client has left.
