--- /dev/null
+++ b/io/gateway/serve_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/route"
+)
+
+var _ = Describe("liftLimit", func() {
+	for _, c := range []struct {
+		name     string
+		route    route.Route
+		deadline time.Duration
+		want     time.Duration // clients wait longer than this
+	}{
+		{"a stream with a short aim", route.Route{Kind: route.Streaming, FirstTarget: 400 * time.Millisecond}, 12 * time.Second, 1400 * time.Millisecond},
+		{"a stream with a long aim", route.Route{Kind: route.Streaming, FirstTarget: 1500 * time.Millisecond}, 15 * time.Second, 4200 * time.Millisecond},
+		{"a stream with a long pause", route.Route{Kind: route.Resumable, PauseTarget: 400 * time.Millisecond}, 12 * time.Second, 2240 * time.Millisecond},
+		{"a stream with a short deadline", route.Route{Kind: route.Streaming, PauseTarget: 400 * time.Millisecond}, 3 * time.Second, 1500 * time.Millisecond},
+		{"a lookup", route.Route{Kind: route.Idempotent}, 600 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		It("waits for budget no longer than clients wait: "+c.name, func() {
+			now := time.Now()
+			x := &exchange{route: &c.route, arrived: now, deadline: now.Add(c.deadline)}
+			Expect(x.liftLimit()).To(BeNumerically("~", c.want, time.Microsecond))
+		})
+	}
+})
