--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -81,7 +81,7 @@
 	rated    time.Time
 	recent   int64 // tokens asked for since rated
 	wanted   int64 // tokens that a waiting request lacks
-	waiting  int64 // tokens of the largest waiting request
+	waiting  int64 // tokens of requests that could not be reserved since the last write
 	others   others
 }
 
@@ -154,8 +154,8 @@
 	}
 	lacks := tokens - a.free(now)
 	if lacks > 0 {
-		a.wanted = max(a.wanted, lacks)
-		a.waiting = max(a.waiting, tokens)
+		a.wanted += lacks
+		a.waiting += tokens
 		b.dirty = true
 		return nil, false
 	}
