Waiting requests are counted while they wait; views tell of lapsed registrations too

Cause: requests that waited for budget raised the burst once for each try, or for the largest only; a hot tenant waited for a write each, and dead VMs stranded what the tries had added up to.

--- a/core/endpoints/choose_test.go
+++ b/core/endpoints/choose_test.go
@@ -92,6 +92,13 @@
 		Expect(t.Get("e0").running).To(BeZero())
 	})
 
+	It("tells other VMs of endpoints whose registration lapsed and may come back", func() {
+		t := fleet(3)
+		t.Expire("e0", start.Add(time.Second))
+		t.Expire("e1", start)
+		Expect(t.Registrations(start)).To(HaveLen(2))
+	})
+
 	It("drops endpoints that are gone for good", func() {
 		t := fleet(2)
 		t.Expire("e1", start.Add(time.Second))
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -111,11 +111,12 @@
 	return ids
 }
 
-// Registrations returns those of all endpoints that are not known to be gone.
-func (t *Table) Registrations() []Registration {
+// Registrations returns those of all endpoints that are not gone, with those
+// whose registration lapsed and may come back.
+func (t *Table) Registrations(now time.Time) []Registration {
 	list := []Registration{}
 	for _, e := range t.byID {
-		if e.goneAt.IsZero() {
+		if e.goneAt.IsZero() || now.Before(e.goneAt) {
 			list = append(list, e.Registration)
 		}
 	}
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -80,8 +80,7 @@
 	rate     float64 // tokens asked for in a second
 	rated    time.Time
 	recent   int64 // tokens asked for since rated
-	wanted   int64 // tokens that a waiting request lacks
-	waiting  int64 // tokens of requests that could not be reserved since the last write
+	waiting  int64 // tokens of the requests that wait for them
 	others   others
 }
 
@@ -152,11 +151,7 @@
 	if a == nil || !a.limited || tokens == 0 {
 		return &Reservation{}, true
 	}
-	lacks := tokens - a.free(now)
-	if lacks > 0 {
-		a.wanted += lacks
-		a.waiting += tokens
-		b.dirty = true
+	if tokens > a.free(now) {
 		return nil, false
 	}
 	a.reserved += tokens
@@ -165,6 +160,21 @@
 	return &Reservation{account: a, tokens: tokens}, true
 }
 
+// Wait counts a request that could not be reserved and waits for tokens, until
+// Leave. The next transaction makes room for it.
+func (b *Book) Wait(name string, tokens int64) { b.account(name).waiting += tokens }
+
+// Leave ends a wait.
+func (b *Book) Leave(name string, tokens int64) { b.account(name).waiting -= tokens }
+
+// lacks returns the tokens that waiting requests lack.
+func (a *account) lacks(now time.Time) int64 {
+	if a.waiting == 0 {
+		return 0
+	}
+	return max(a.waiting-a.free(now), 0)
+}
+
 // Settle ends a reservation. used is what the request used; what goes beyond
 // the reservation was never agreed and is left out.
 func (b *Book) Settle(r *Reservation, used int64) {
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -214,8 +214,14 @@
 	if v.frozen || v.fenced {
 		return
 	}
-	if r, ok := v.book.Reserve(w.account(), 1+w.random.Int64N(2_000), v.now); ok {
+	name, tokens := w.account(), 1+w.random.Int64N(2_000)
+	if r, ok := v.book.Reserve(name, tokens, v.now); ok {
 		v.running = append(v.running, r)
+		return
+	}
+	v.book.Wait(name, tokens)
+	if w.random.IntN(2) == 0 {
+		v.book.Leave(name, tokens)
 	}
 }
 
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -99,7 +99,7 @@
 		return true
 	}
 	for _, a := range b.accounts {
-		if a.wanted > 0 && (a.total < a.prepaid || a.granted-a.committed() >= a.wanted) {
+		if a.lacks(now) > 0 && (a.total < a.prepaid || a.granted-a.committed() > a.free(now)) {
 			return true
 		}
 		if a.limited && a.renew() {
@@ -160,7 +160,6 @@
 		a.granted += grant
 	}
 	held := a.held(max(grant, 0), b.vms)
-	a.wanted = 0
 	t.Holding.Accounts[name] = held
 	a.bounds = append(a.bounds, bound{sequence: t.Holding.Sequence, at: now, held: held})
 }
@@ -175,12 +174,12 @@
 	switch {
 	case math.Abs(float64(want)) < smallestShare*float64(a.prepaid):
 		want = 0
-	case float64(free) > returnAbove*target && a.wanted == 0:
+	case float64(free) > returnAbove*target && a.waiting == 0:
 		return want
 	case float64(free) > drawBelow*target:
 		want = 0
 	}
-	return min(max(want, a.wanted), left)
+	return min(max(want, a.waiting-free), left)
 }
 
 // target returns the free tokens that the VM should hold of those that no
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -99,7 +99,7 @@
 		v.Configuration = s.table.Document
 	}
 	if s.registry && s.registryVersion > registry {
-		v.Endpoints = s.endpoints.Registrations()
+		v.Endpoints = s.endpoints.Registrations(time.Now())
 	}
 	budgets := s.book.Snapshot()
 	v.Budgets = &budgets
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -174,6 +174,8 @@
 	begun := time.Now()
 	defer func() { x.gateway.metrics.Time("budget_wait_seconds", "reserve", time.Since(begun)) }()
 	until := x.arrived.Add(min(budgetWait, time.Until(x.deadline)/4))
+	waits := false
+	defer func() { x.gateway.state.wait(x.account.Name, tokens, &waits, false) }()
 	for {
 		reservation, changed, refused := x.gateway.tryReserve(x.account.Name, tokens)
 		if reservation != nil {
@@ -192,6 +194,8 @@
 		if !lifts {
 			next = until
 		}
+		x.gateway.state.wait(x.account.Name, tokens, &waits, true)
+		x.gateway.wake()
 		if !x.await(changed, next) {
 			return &clientLeft
 		}
@@ -240,7 +244,6 @@
 	case !undrawn && g.borrower.isDry(account):
 		return nil, changed, &budgetShort
 	}
-	g.wake()
 	g.borrower.ask(account, tokens)
 	return nil, changed, nil
 }
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -122,6 +122,22 @@
 	return max(d.MaxConnections/max(s.vms, 1), 1)
 }
 
+// wait tells the book that a request begins or ceases to wait for tokens; waits
+// keeps which of both was told last.
+func (s *state) wait(account string, tokens int64, waits *bool, begins bool) {
+	if *waits == begins {
+		return
+	}
+	*waits = begins
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if begins {
+		s.book.Wait(account, tokens)
+		return
+	}
+	s.book.Leave(account, tokens)
+}
+
 func (s *state) settle(r *escrow.Reservation, used int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
