--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,9 @@
 test: build
 	$(GO) test -count=1 ./...
 
-tools: $(BIN)/staticcheck $(BIN)/gofumpt
+tools: $(BIN)/staticcheck $(BIN)/gofumpt $(BIN)/go-jsonschema
 
-$(BIN)/staticcheck $(BIN)/gofumpt: tools/go.mod tools/go.sum
+$(BIN)/staticcheck $(BIN)/gofumpt $(BIN)/go-jsonschema: tools/go.mod tools/go.sum
 	cd tools && GOBIN=$(BIN) $(GO) install tool
 
 check: tools
@@ -25,6 +25,7 @@
 # generate needs protoc, Debian's protobuf-compiler; its output is committed.
 generate: tools
 	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=hawthornspar io/wire/wire.proto
+	$(BIN)/go-jsonschema --only-models --tags json --disable-omitempty --disable-omitzero -p wire -o platform/wire/wire.go platform/wire/wire.schema.json
 
 # bench measures real processes, experiment compares policies on virtual time.
 bench: build
@@ -41,5 +42,5 @@
 
 # explore runs the property tests with other seeds, and fuzzes callers' input.
 explore:
-	$(GO) test -count=1 ./...eriment -count=1 -timeout 1h -rapid.seed=$$(date +%s) -rapid.checks=2000 -rapid.steps=80
-	$(GO) test -count=1 ./...caller -run '^$$' -fuzz FuzzParseChat -fuzztime 30s
+	$(GO) test ./experiment -count=1 -timeout 1h -rapid.seed=$$(date +%s) -rapid.checks=2000 -rapid.steps=80
+	$(GO) test ./io/caller -run '^$$' -fuzz FuzzParseChat -fuzztime 30s
