Passive health: failures and slowness add to an endpoint's estimate and fade

Before, only resets in a row counted, and a success in between cleared them. Test in core: an endpoint that fails 60%, breaks off 40% or is eight times as slow gets under 8% of the requests (17% is its even share).

--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -48,8 +48,9 @@
 	var best *Endpoint
 	bestCost := 0.0
 	home := homeOf(w, list)
+	mean := meanLag(list)
 	for _, e := range list {
-		cost := e.estimate(w, e == home, domain, now) + noiseMs*random.Float64()
+		cost := e.estimate(w, e == home, domain, now) + e.penalty(mean, now) + noiseMs*random.Float64()
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -25,9 +25,11 @@
 // Endpoint is an endpoint with what this VM knows of it.
 type Endpoint struct {
 	Registration
-	running    int   // own requests that have not ended
-	prefilling int64 // own prompt tokens sent and not yet answered
-	failures   int   // in a row
+	running    int     // own requests that have not ended
+	prefilling int64   // own prompt tokens sent and not yet answered
+	failures   int     // in a row
+	fails      average // share of own requests that failed
+	lag        average // ms to the first piece of the answer
 	avoidUntil time.Time
 	goneAt     time.Time // when a removed registration is believed; zero while registered
 	parts      map[string]time.Time
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -17,9 +17,11 @@
 const (
 	// Answered: the endpoint gave an answer of its own.
 	Answered Outcome = iota
+	// FailedAnswer: the endpoint answered with a server error.
+	FailedAnswer
 	// Rejected: the endpoint proved that it did not run the request.
 	Rejected
-	// Failed: refused, reset, cut off or answered with a server error.
+	// Failed: refused, reset or cut off.
 	Failed
 	// Unreached: the send was given up for the caller's sake.
 	Unreached
@@ -33,6 +35,7 @@
 	Running  int   // own requests at the endpoint when it was chosen
 	Tokens   int64 // of the prompt that the endpoint is expected to read
 	Registry int64 // version of the registry that it was chosen by
+	begun    time.Time
 	first    bool
 	ended    bool
 }
@@ -40,7 +43,7 @@
 // Begin counts a send.
 func (e *Endpoint) Begin(w Work, now time.Time) *Send {
 	tokens := w.Prompt - e.cached(w, false, now)
-	s := &Send{Endpoint: e, Running: e.running, Tokens: tokens}
+	s := &Send{Endpoint: e, Running: e.running, Tokens: tokens, begun: now}
 	e.running++
 	e.prefilling += tokens
 	if len(e.parts) > partsKept {
@@ -53,7 +56,16 @@
 }
 
 // First counts the first piece of the answer: the prompt has been read.
-func (s *Send) First() {
+func (s *Send) First(now time.Time) {
+	if s.first {
+		return
+	}
+	s.release()
+	s.Endpoint.lag.add(float64(now.Sub(s.begun).Milliseconds()), now)
+}
+
+// release counts the prompt as read, or as not to be read any more.
+func (s *Send) release() {
 	if s.first {
 		return
 	}
@@ -68,14 +80,18 @@
 		return false
 	}
 	s.ended = true
-	s.First()
+	s.release()
 	e := s.Endpoint
 	e.running--
 	switch o {
 	case Answered:
+		e.fails.add(0, now)
 		e.failures = 0
 		e.avoidUntil = time.Time{}
+	case FailedAnswer:
+		e.fails.add(1, now)
 	case Failed:
+		e.fails.add(1, now)
 		return e.avoid(now)
 	case Misdirected:
 		// Its next heartbeat, if it lives, brings it back.
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -197,7 +197,7 @@
 	failed := response.StatusCode >= http.StatusInternalServerError
 	if failed && x.route.Kind.Repeatable() && x.mayRepeat() && x.gateway.state.takeRetry(x.service) {
 		x.finish(conn, response, stop)
-		return endpoints.Answered, again, endpointError
+		return endpoints.FailedAnswer, again, endpointError
 	}
 	if x.relayed.begun && response.StatusCode != http.StatusOK {
 		x.finish(conn, response, stop)
@@ -208,7 +208,7 @@
 	case err == nil:
 		stop()
 		conn.Finish(response)
-		return endpoints.Answered, done, refusal{}
+		return outcomeOf(response), done, refusal{}
 	case x.request.Context().Err() != nil:
 		conn.Close()
 		return endpoints.Unreached, done, clientLeft
@@ -224,6 +224,14 @@
 	return endpoints.Failed, done, outcomeUnknown
 }
 
+// outcomeOf tells a server error from other whole answers.
+func outcomeOf(r *http.Response) endpoints.Outcome {
+	if r.StatusCode >= http.StatusInternalServerError {
+		return endpoints.FailedAnswer
+	}
+	return endpoints.Answered
+}
+
 // settle bills what the request used.
 func (x *exchange) settle() {
 	if x.reservation == nil {
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -86,7 +86,7 @@
 func (s *state) first(send *endpoints.Send) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	send.First()
+	send.First(time.Now())
 }
 
 // end counts the end of a send; true when its endpoint is newly avoided.
