--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -25,10 +25,10 @@
 	// idleWeight is the weight of a VM without requests beside the mean one,
 	// as any VM may get the next request.
 	idleWeight = 0.25
-	// burstShare is the part of a prepaid budget that all VMs together may
-	// spend before they write their holdings again. What a dead VM may have
-	// spent of it is lost to the account.
-	burstShare = 0.01
+	// burstShare is the part of an account's unspent budget that all VMs
+	// together may spend before they write their holdings again. What a dead VM
+	// may have spent of it is lost to the account.
+	burstShare = 0.04
 	// laterSpan is the spending at the rate of lately that may come at once
 	// after holdSpan.
 	laterSpan = time.Second
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -200,7 +200,8 @@
 	committed := a.committed()
 	granted := a.granted + grant
 	free := max(granted-committed, 0)
-	burst := int64(burstShare*float64(a.prepaid)*a.weight(vms)) + a.waiting
+	unspent := max(a.prepaid-a.total, 0) + free + a.others.free
+	burst := int64(burstShare*float64(unspent)*a.weight(vms)) + a.waiting
 	fast := max(fastFactor*a.rate, float64(free)/fastDrain.Seconds())
 	return Held{
 		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, Rate: int64(a.rate),
