--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	./bench/path.sh
 	./bench/orders.sh
 	./bench/idle.sh
+	MEASURE=1 $(GO) test -count=1 -run TestSuite ./platform/scenarios -ginkgo.focus "The hot path" -v
 
 experiment: build
 	$(BIN)/experiment grants
