Usual names and smaller files in the gateway and the escrow

Ask, Patience, comeBack, dry and lift become request info, client timeout, retry after, exhausted and allowed; the log's story a trace. Waiting for budget, answers, plans and accounts each have a file. Behaviour unchanged.

--- a/cmd/hawthornspar/explain.go
+++ b/cmd/hawthornspar/explain.go
@@ -7,7 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hawthornspar/io/logline/story"
+	"hawthornspar/io/logline/trace"
 )
 
 // UnknownRequestError says that no line names a request.
@@ -18,10 +18,10 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "tell a request's story from the VMs' log lines on standard input", ArgsUsage: "ID",
+		Name: "explain", Usage: "trace a request in the VMs' log lines on standard input", ArgsUsage: "ID",
 		Action: func(_ context.Context, c *cli.Command) error {
 			id := c.Args().First()
-			s, err := story.Tell(os.Stdin, id)
+			s, err := trace.Read(os.Stdin, id)
 			if err != nil {
 				return err
 			}
@@ -29,15 +29,15 @@
 				return &UnknownRequestError{ID: id}
 			}
 			fmt.Println("what its VM believed:")
-			printStory(s.State)
+			printTrace(s.State)
 			fmt.Println("what happened to the request:")
-			printStory(s.Lines)
+			printTrace(s.Lines)
 			return nil
 		},
 	}
 }
 
-func printStory(lines []story.Line) {
+func printTrace(lines []trace.Line) {
 	for _, l := range lines {
 		fmt.Println("  " + l.Raw)
 	}
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -1,7 +1,6 @@
 package escrow
 
 import (
-	"math"
 	"time"
 )
 
@@ -66,37 +65,6 @@
 	vms         int // VMs with a holding, this one included
 }
 
-type account struct {
-	prepaid  int64
-	limited  bool
-	granted  int64
-	spent    int64
-	lent     int64
-	reserved int64
-	bounds   []bound
-	total    int64   // drawn by all VMs, as last read
-	unknown  int64   // drawn tokens that dead VMs may have spent
-	version  int64   // of the total's row; -1 when it has not been read
-	rate     float64 // tokens asked for in a second
-	rated    time.Time
-	recent   int64 // tokens asked for since rated
-	waiting  int64 // tokens of the requests that wait for them
-	others   others
-}
-
-// others is what the holdings of the other VMs say of an account.
-type others struct {
-	free int64
-	rate float64
-}
-
-// bound is what one written holding allows.
-type bound struct {
-	sequence int64
-	at       time.Time
-	held     Held
-}
-
 // storeClock gives lower estimates of the store's clock.
 type storeClock struct {
 	ms int64
@@ -167,14 +135,6 @@
 // Leave ends a wait.
 func (b *Book) Leave(name string, tokens int64) { b.account(name).waiting -= tokens }
 
-// lacks returns the tokens that waiting requests lack.
-func (a *account) lacks(now time.Time) int64 {
-	if a.waiting == 0 {
-		return 0
-	}
-	return max(a.waiting-a.free(now), 0)
-}
-
 // Settle ends a reservation. used is what the request used; what goes beyond
 // the reservation was never agreed and is left out.
 func (b *Book) Settle(r *Reservation, used int64) {
@@ -189,58 +149,6 @@
 	b.dirty = true
 }
 
-func (a *account) committed() int64 { return a.spent + a.lent + a.reserved }
-
-// free returns the tokens that may be reserved now.
-func (a *account) free(now time.Time) int64 {
-	limit := a.granted
-	for _, b := range a.bounds {
-		limit = min(limit, b.held.allowed(now.Sub(b.at)))
-	}
-	return limit - a.committed()
-}
-
-// lifts returns the time until tokens may be reserved if the store stays out of
-// reach; false when they are not held.
-func (a *account) lifts(tokens int64, now time.Time) (time.Duration, bool) {
-	need := a.committed() + tokens
-	if need > a.granted {
-		return 0, false
-	}
-	longest := time.Duration(0)
-	for _, b := range a.bounds {
-		longest = max(longest, b.at.Add(b.held.until(need)).Sub(now))
-	}
-	return longest, true
-}
-
-// renew tells whether little is left of what may be spent before the next write.
-func (a *account) renew() bool {
-	for _, b := range a.bounds {
-		used := a.committed() - b.held.Committed
-		if b.held.Burst > 0 && float64(used) > (1-renewBelow)*float64(b.held.Burst) && a.granted > a.committed() {
-			return true
-		}
-	}
-	return false
-}
-
-// measure updates the rate of spending.
-func (a *account) measure(now time.Time) {
-	if a.rated.IsZero() {
-		a.rated = now
-		return
-	}
-	passed := now.Sub(a.rated)
-	if passed <= 0 {
-		return
-	}
-	weight := 1 - math.Exp(-passed.Seconds()/rateSpan.Seconds())
-	a.rate += weight * (float64(a.recent)/passed.Seconds() - a.rate)
-	a.recent = 0
-	a.rated = now
-}
-
 // Exhausted tells whether a request is known to need more than the account has
 // left, wherever the rest may be.
 func (b *Book) Exhausted(name string, tokens int64) bool {
@@ -275,12 +183,12 @@
 	return Balance{Granted: a.granted, Committed: a.committed(), Free: a.free(now), Left: a.prepaid - a.total, Others: a.others.free}
 }
 
-// Lifts returns the time until a request may be reserved if the store stays out
+// AllowedIn returns the time until a request may be reserved if the store stays out
 // of reach; false when the VM does not hold enough for it.
-func (b *Book) Lifts(name string, tokens int64, now time.Time) (time.Duration, bool) {
+func (b *Book) AllowedIn(name string, tokens int64, now time.Time) (time.Duration, bool) {
 	a := b.accounts[name]
 	if a == nil {
 		return 0, false
 	}
-	return a.lifts(tokens, now)
+	return a.allowedIn(tokens, now)
 }
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -31,9 +31,9 @@
 	lendersAsked = 4
 	// lenderPause follows a question that failed.
 	lenderPause = 2 * time.Second
-	// dryPause follows questions that did not bring enough, about the time
+	// exhaustedPause follows questions that did not bring enough, about the time
 	// until the next reading of what others hold.
-	dryPause = 700 * time.Millisecond
+	exhaustedPause = 700 * time.Millisecond
 	// certificateLife is longer than any VM runs.
 	certificateLife = 365 * 24 * time.Hour
 	// authorityKey names the fleet's certificate authority in the store.
@@ -134,16 +134,16 @@
 
 // borrower asks other VMs for tokens, for one request of an account at a time.
 type borrower struct {
-	gateway *Gateway
-	mu      sync.Mutex
-	node    *peer.Node
-	busy    map[string]bool      // accounts
-	failed  map[string]time.Time // VMs that did not answer
-	dry     map[string]time.Time // accounts of which the others gave too little
+	gateway   *Gateway
+	mu        sync.Mutex
+	node      *peer.Node
+	busy      map[string]bool      // accounts
+	failed    map[string]time.Time // VMs that did not answer
+	exhausted map[string]time.Time // accounts of which the others gave too little
 }
 
 func newBorrower(g *Gateway) *borrower {
-	return &borrower{gateway: g, busy: map[string]bool{}, failed: map[string]time.Time{}, dry: map[string]time.Time{}}
+	return &borrower{gateway: g, busy: map[string]bool{}, failed: map[string]time.Time{}, exhausted: map[string]time.Time{}}
 }
 
 func (b *borrower) use(n *peer.Node) {
@@ -177,7 +177,7 @@
 func (b *borrower) ask(account string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.node == nil || b.busy[account] || time.Since(b.dry[account]) < dryPause {
+	if b.node == nil || b.busy[account] || time.Since(b.exhausted[account]) < exhaustedPause {
 		return
 	}
 	b.busy[account] = true
@@ -206,24 +206,24 @@
 		q.borrow(l, need, want)
 	}
 	if need, _ := q.lack(); need > 0 {
-		q.borrower.markDry(q.account)
+		q.borrower.markExhausted(q.account)
 	}
 }
 
-func (b *borrower) markDry(account string) {
+func (b *borrower) markExhausted(account string) {
 	b.mu.Lock()
-	b.dry[account] = time.Now()
+	b.exhausted[account] = time.Now()
 	b.mu.Unlock()
 	b.gateway.state.mu.Lock()
 	defer b.gateway.state.mu.Unlock()
 	b.gateway.state.bookChanged()
 }
 
-// isDry tells whether the other VMs lately had too little of an account.
-func (b *borrower) isDry(account string) bool {
+// isExhausted tells whether the other VMs lately had too little of an account.
+func (b *borrower) isExhausted(account string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Since(b.dry[account]) < dryPause
+	return time.Since(b.exhausted[account]) < exhaustedPause
 }
 
 func (q *question) end() {
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -13,19 +13,19 @@
 	"hawthornspar/core/route"
 )
 
-// Ask is what a client's headers say of its request.
-type Ask struct {
-	ID           string
-	Key          string        // API key
-	Patience     time.Duration // how long the client waits; 0 when unstated
-	PromptTokens int64
-	OutputTokens int64 // at most
-	Parts        []endpoints.Part
-	LastEvent    string // id of the last event that the client has
+// RequestInfo is what a client's headers say of its request.
+type RequestInfo struct {
+	ID            string
+	Key           string        // API key
+	ClientTimeout time.Duration // how long the client waits; 0 when unstated
+	PromptTokens  int64
+	OutputTokens  int64 // at most
+	Parts         []endpoints.Part
+	LastEvent     string // id of the last event that the client has
 }
 
-// Send is what an endpoint is told besides the client's own headers.
-type Send struct {
+// ForwardInfo is what an endpoint is told besides the client's own headers.
+type ForwardInfo struct {
 	Left      time.Duration // until the request's deadline
 	Endpoint  string        // id of the endpoint that is meant
 	Priority  int
@@ -33,8 +33,8 @@
 	LastEvent string // id of the event after which a stream goes on
 }
 
-// Reply is what the head of an endpoint's answer says.
-type Reply struct {
+// ResponseInfo is what the head of an endpoint's answer says.
+type ResponseInfo struct {
 	ID     string // of the request that it answers
 	Sealed bool   // it is an endpoint's answer to a request that ran
 	NotRun bool   // the endpoint proves that it did not run the request
@@ -42,10 +42,10 @@
 
 // Dialect translates headers.
 type Dialect interface {
-	Ask(http.Header) Ask
-	Forward(http.Header, Send)
-	Reply(http.Header) Reply
-	Stamp(h http.Header, id string, comeBack time.Duration)
+	ReadRequest(http.Header) RequestInfo
+	Forward(http.Header, ForwardInfo)
+	ReadResponse(http.Header) ResponseInfo
+	SetRouterHeaders(h http.Header, id string, retryAfter time.Duration)
 }
 
 // Store is the platform's store. Versions say where a watch goes on. A watch
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -20,7 +20,7 @@
 	gateway *Gateway
 	writer  http.ResponseWriter
 	request *http.Request
-	ask     Ask
+	info    RequestInfo
 	arrived time.Time
 
 	version  int64 // of the configuration that it was admitted by
@@ -86,18 +86,18 @@
 		return done, x.giveUp(last)
 	}
 	x.tried[send.Endpoint.ID] = true
-	x.gateway.log.Info("sent", "id", x.ask.ID, "endpoint", send.Endpoint.ID, "service", x.service, "running", send.Running, "uncached", send.Tokens,
+	x.gateway.log.Info("sent", "id", x.info.ID, "endpoint", send.Endpoint.ID, "service", x.service, "running", send.Running, "uncached", send.Tokens,
 		"registry", send.Registry, "left", time.Until(x.deadline).Milliseconds())
 	outcome, next, refused := x.send(ctx, send)
 	if x.request.Context().Err() != nil {
 		outcome = endpoints.Unreached
 	}
 	if x.gateway.state.end(send, outcome) {
-		x.gateway.log.Info("endpoint avoided", "endpoint", send.Endpoint.ID, "service", x.service, "request", x.ask.ID, "reason", refused.reason)
+		x.gateway.log.Info("endpoint avoided", "endpoint", send.Endpoint.ID, "service", x.service, "request", x.info.ID, "reason", refused.reason)
 	}
 	if next == again {
 		x.gateway.metrics.Count("retries", refused.reason)
-		x.gateway.log.Info("retried", "id", x.ask.ID, "endpoint", send.Endpoint.ID, "reason", refused.reason, "attempts", x.attempts, "sends", x.sends)
+		x.gateway.log.Info("retried", "id", x.info.ID, "endpoint", send.Endpoint.ID, "reason", refused.reason, "attempts", x.attempts, "sends", x.sends)
 	}
 	return next, refused
 }
@@ -143,95 +143,6 @@
 	return x.answer(ctx, s, conn, response, stop)
 }
 
-// unsent follows a send of which nothing reached the endpoint.
-func (x *exchange) unsent(ctx context.Context, err error) (endpoints.Outcome, step, refusal) {
-	if ctx.Err() != nil {
-		return endpoints.Unreached, done, x.late()
-	}
-	var limit *http1.LimitError
-	if errors.As(err, &limit) {
-		return endpoints.Unreached, again, unreachable
-	}
-	return endpoints.Failed, again, unreachable
-}
-
-// unanswered follows a send that may have run and whose answer is lost.
-func (x *exchange) unanswered(ctx context.Context, err error) (endpoints.Outcome, step, refusal) {
-	x.attempts++
-	if ctx.Err() != nil {
-		return endpoints.Failed, done, lateSent
-	}
-	x.gateway.log.Info("answer lost", "id", x.ask.ID, "error", err.Error(), "attempts", x.attempts)
-	if x.mayRepeat() {
-		return endpoints.Failed, again, outcomeUnknown
-	}
-	return endpoints.Failed, done, outcomeUnknown
-}
-
-// mayRepeat tells whether the request may be sent again after it may have run.
-func (x *exchange) mayRepeat() bool {
-	return x.route.Kind.Repeatable() && x.attempts < max(x.route.MaxAttempts, 1)
-}
-
-// own tells whether an answer belongs to this request.
-func (x *exchange) own(r *http.Response) bool {
-	reply := x.gateway.dialect.Reply(r.Header)
-	if reply.ID != "" || r.StatusCode < http.StatusMultipleChoices {
-		return reply.ID == x.ask.ID
-	}
-	return true
-}
-
-// answer decides what an endpoint's answer means for the request.
-func (x *exchange) answer(ctx context.Context, s *endpoints.Send, conn *http1.Conn, response *http.Response, stop func() bool) (endpoints.Outcome, step, refusal) {
-	reply := x.gateway.dialect.Reply(response.Header)
-	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest:
-		x.finish(conn, response, stop)
-		return endpoints.Misdirected, again, misdirected
-	case reply.NotRun:
-		x.finish(conn, response, stop)
-		return endpoints.Rejected, again, endpointsFull
-	}
-	x.attempts++
-	failed := response.StatusCode >= http.StatusInternalServerError
-	if failed && x.route.Kind.Repeatable() && x.mayRepeat() && x.gateway.state.takeRetry(x.service) {
-		x.finish(conn, response, stop)
-		return endpoints.FailedAnswer, again, endpointError
-	}
-	if x.relayed.begun && response.StatusCode != http.StatusOK {
-		x.finish(conn, response, stop)
-		return endpoints.Answered, done, outcomeUnknown
-	}
-	err := x.relay(s, response)
-	switch {
-	case err == nil:
-		stop()
-		conn.Finish(response)
-		return outcomeOf(response), done, refusal{}
-	case x.request.Context().Err() != nil:
-		conn.Close()
-		return endpoints.Unreached, done, clientLeft
-	case ctx.Err() != nil:
-		conn.Close()
-		return endpoints.Answered, done, lateSent
-	}
-	conn.Close()
-	x.gateway.log.Info("answer cut off", "id", x.ask.ID, "endpoint", s.Endpoint.ID, "error", err.Error(), "events", x.relayed.events)
-	if x.route.Kind == route.Resumable && x.mayRepeat() || !x.relayed.begun && x.mayRepeat() {
-		return endpoints.Failed, again, outcomeUnknown
-	}
-	return endpoints.Failed, done, outcomeUnknown
-}
-
-// outcomeOf tells a server error from other whole answers.
-func outcomeOf(r *http.Response) endpoints.Outcome {
-	if r.StatusCode >= http.StatusInternalServerError {
-		return endpoints.FailedAnswer
-	}
-	return endpoints.Answered
-}
-
 // settle bills what the request used.
 func (x *exchange) settle() {
 	if x.reservation == nil {
@@ -246,7 +157,7 @@
 	if !x.relayed.begun {
 		return 0
 	}
-	return x.ask.PromptTokens + x.outputTokens()
+	return x.info.PromptTokens + x.outputTokens()
 }
 
 // outputTokens returns the output that the client was sent, counted high.
@@ -255,7 +166,7 @@
 	if x.engine != nil && x.engine.TokensPerEvent > 0 {
 		perEvent = x.engine.TokensPerEvent
 	}
-	return min(int64(x.relayed.events)*perEvent, x.ask.OutputTokens)
+	return min(int64(x.relayed.events)*perEvent, x.info.OutputTokens)
 }
 
 func (x *exchange) refuse(r refusal) {
@@ -264,13 +175,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.end("refused", r.reason)
-	x.gateway.refuse(x.writer, x.ask.ID, r, x.left())
+	x.gateway.refuse(x.writer, x.info.ID, r, x.left())
 }
 
 // left returns the time until the client's deadline; 0 when it is unknown.
 func (x *exchange) left() time.Duration {
 	if x.deadline.IsZero() {
-		return x.ask.Patience
+		return x.info.ClientTimeout
 	}
 	return max(time.Until(x.deadline), time.Millisecond)
 }
@@ -286,6 +197,6 @@
 	}
 	x.gateway.metrics.Count("requests", outcome)
 	x.gateway.metrics.Time("request_seconds", outcome, time.Since(x.arrived))
-	x.gateway.log.Info("ended", "id", x.ask.ID, "outcome", outcome, "reason", reason, "route", name, "account", account,
+	x.gateway.log.Info("ended", "id", x.info.ID, "outcome", outcome, "reason", reason, "route", name, "account", account,
 		"configuration", x.version, "sends", x.sends, "attempts", x.attempts, "events", x.relayed.events, "tokens", x.used(), "ms", time.Since(x.arrived).Milliseconds())
 }
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -8,40 +8,40 @@
 
 // refusal is an answer of the router's own.
 type refusal struct {
-	status   int
-	reason   string
-	comeBack time.Duration // when the client may try again; 0 for unstated
-	close    bool          // the connection cannot be used again
+	status     int
+	reason     string
+	retryAfter time.Duration // when the client may try again; 0 for unstated
+	close      bool          // the connection cannot be used again
 }
 
 // Refusals. Statuses 429 and 503 are used only while no endpoint can have run
 // the request.
 var (
-	noConfiguration  = refusal{status: http.StatusServiceUnavailable, reason: "noConfiguration", comeBack: time.Second}
+	noConfiguration  = refusal{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: time.Second}
 	noRoute          = refusal{status: http.StatusNotFound, reason: "noRoute"}
 	unknownKey       = refusal{status: http.StatusUnauthorized, reason: "unknownKey"}
 	bodyTooLarge     = refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge", close: true}
 	bodyTimeout      = refusal{status: http.StatusRequestTimeout, reason: "bodyTimeout", close: true}
 	badBody          = refusal{status: http.StatusBadRequest, reason: "badBody", close: true}
-	bodiesFull       = refusal{status: http.StatusServiceUnavailable, reason: "bodiesFull", comeBack: time.Second, close: true}
+	bodiesFull       = refusal{status: http.StatusServiceUnavailable, reason: "bodiesFull", retryAfter: time.Second, close: true}
 	budgetExhausted  = refusal{status: http.StatusPaymentRequired, reason: "budgetExhausted"}
-	budgetShort      = refusal{status: http.StatusTooManyRequests, reason: "budgetShort", comeBack: time.Second}
-	noEndpoint       = refusal{status: http.StatusServiceUnavailable, reason: "noEndpoint", comeBack: 500 * time.Millisecond}
-	endpointsFull    = refusal{status: http.StatusServiceUnavailable, reason: "endpointsFull", comeBack: 300 * time.Millisecond}
-	retriesSpent     = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", comeBack: 300 * time.Millisecond}
+	budgetShort      = refusal{status: http.StatusTooManyRequests, reason: "budgetShort", retryAfter: time.Second}
+	noEndpoint       = refusal{status: http.StatusServiceUnavailable, reason: "noEndpoint", retryAfter: 500 * time.Millisecond}
+	endpointsFull    = refusal{status: http.StatusServiceUnavailable, reason: "endpointsFull", retryAfter: 300 * time.Millisecond}
+	retriesSpent     = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", retryAfter: 300 * time.Millisecond}
 	lateUnsent       = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
 	lateSent         = refusal{status: http.StatusGatewayTimeout, reason: "late"}
 	outcomeUnknown   = refusal{status: http.StatusBadGateway, reason: "outcomeUnknown"}
-	shareOfPatience  = 3 // clients come back within a third of the time that they have left
+	retryAfterShare  = 3 // clients come back within a third of the time that they have left
 	refusalMediaType = "application/json"
 )
 
 // Reasons of further sends.
 var (
 	// unreachable follows a send that did not reach its endpoint.
-	unreachable = refusal{status: http.StatusServiceUnavailable, reason: "unreachable", comeBack: 300 * time.Millisecond}
+	unreachable = refusal{status: http.StatusServiceUnavailable, reason: "unreachable", retryAfter: 300 * time.Millisecond}
 	// misdirected follows a send to an address that another endpoint has now.
-	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", comeBack: 300 * time.Millisecond}
+	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", retryAfter: 300 * time.Millisecond}
 	// endpointError follows an endpoint's own failure of a repeatable request;
 	// the retry budget has been asked already.
 	endpointError = refusal{status: http.StatusBadGateway, reason: "endpointError"}
@@ -52,12 +52,12 @@
 // refuse writes a refusal.
 func (g *Gateway) refuse(w http.ResponseWriter, id string, r refusal, left time.Duration) {
 	g.metrics.Count("refusals", r.reason)
-	comeBack := r.comeBack
+	retryAfter := r.retryAfter
 	if left > 0 {
-		comeBack = min(comeBack, left/time.Duration(shareOfPatience))
+		retryAfter = min(retryAfter, left/time.Duration(retryAfterShare))
 	}
 	h := w.Header()
-	g.dialect.Stamp(h, id, comeBack)
+	g.dialect.SetRouterHeaders(h, id, retryAfter)
 	h.Set("Content-Type", refusalMediaType)
 	if r.close {
 		h.Set("Connection", "close")
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -46,7 +46,7 @@
 	dropHopHeaders(header)
 	header.Del("Content-Length")
 	header.Del("Expect")
-	send := Send{Left: time.Until(x.deadline), Endpoint: s.Endpoint.ID, Priority: x.route.Rank(x.account), LastEvent: x.relayed.lastEvent}
+	send := ForwardInfo{Left: time.Until(x.deadline), Endpoint: s.Endpoint.ID, Priority: x.route.Rank(x.account), LastEvent: x.relayed.lastEvent}
 	if x.account != nil {
 		send.Account = x.account.Name
 	}
--- a/io/gateway/serve_test.go
+++ b/io/gateway/serve_test.go
@@ -9,7 +9,7 @@
 	"hawthornspar/core/route"
 )
 
-var _ = Describe("liftLimit", func() {
+var _ = Describe("allowanceWait", func() {
 	for _, c := range []struct {
 		name     string
 		route    route.Route
@@ -25,7 +25,7 @@
 		It("waits for budget no longer than clients wait: "+c.name, func() {
 			now := time.Now()
 			x := &exchange{route: &c.route, arrived: now, deadline: now.Add(c.deadline)}
-			Expect(x.liftLimit()).To(BeNumerically("~", c.want, time.Microsecond))
+			Expect(x.allowanceWait()).To(BeNumerically("~", c.want, time.Microsecond))
 		})
 	}
 })
--- a/io/logline/story/story.go
+++ b/io/logline/trace/trace.go
@@ -1,6 +1,6 @@
-// Package story finds in the log lines of all VMs what happened to one request,
+// Package trace finds in the log lines of all VMs what happened to one request,
 // and the state that it was decided on.
-package story
+package trace
 
 import (
 	"bufio"
@@ -56,8 +56,8 @@
 	return text[1:], ""
 }
 
-// Story is what the logs say of one request.
-type Story struct {
+// Trace is what the logs say of one request.
+type Trace struct {
 	Lines []Line // of the request itself, in order of time
 	State []Line // what its VM believed then: newest line of each kind and subject before the request's end
 }
@@ -80,8 +80,8 @@
 	{"stopping", ""},
 }
 
-// Tell reads log lines and returns the story of a request.
-func Tell(in io.Reader, id string) (Story, error) {
+// Read reads log lines and returns the trace of a request.
+func Read(in io.Reader, id string) (Trace, error) {
 	var all []Line
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, lineBytes)
@@ -92,7 +92,7 @@
 		}
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].Fields["ts"] < all[j].Fields["ts"] })
-	s := Story{}
+	s := Trace{}
 	subjects := map[string]bool{}
 	for _, l := range all {
 		if l.Fields["id"] != id && l.Fields["request"] != id {
--- a/io/logline/story/story_test.go
+++ b/io/logline/trace/trace_test.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"strings"
@@ -10,7 +10,7 @@
 
 func TestSuite(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "story")
+	RunSpecs(t, "trace")
 }
 
 const logs = `vm-b 1.2 "ts"="2026-01-01T00:00:03.000Z" "level"=0 "msg"="budget drawn" "vm"="b" "account"="acme" "left"=0
@@ -31,9 +31,9 @@
 	return out
 }
 
-var _ = Describe("Tell", func() {
+var _ = Describe("Read", func() {
 	It("orders the request's lines and shows what its VM believed", func() {
-		s, err := Tell(strings.NewReader(logs), "r1")
+		s, err := Read(strings.NewReader(logs), "r1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(messages(s.Lines)).To(Equal([]string{"sent ", "answer lost ", "ended "}))
 		Expect(messages(s.State)).To(Equal([]string{"configuration 4", "endpoint avoided "}))
@@ -42,7 +42,7 @@
 	})
 
 	It("says nothing of an unknown request", func() {
-		s, err := Tell(strings.NewReader(logs), "r9")
+		s, err := Read(strings.NewReader(logs), "r9")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Lines).To(BeEmpty())
 	})
