--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -15,6 +15,10 @@
 // leastLeft is the least time in which an endpoint can do anything useful.
 const leastLeft = 5 * time.Millisecond
 
+// unreachableMost bounds the endpoints that are tried in vain for one request:
+// when several have no connection left, the others are as busy.
+const unreachableMost = 3
+
 // exchange is one request of a client with its sends to endpoints.
 type exchange struct {
 	gateway *Gateway
@@ -34,6 +38,7 @@
 
 	reservation *escrow.Reservation
 	tried       map[string]bool // endpoints that it was sent to
+	unreachable int             // endpoints that it could not be sent to
 	sends       int
 	attempts    int // sends that may have run
 	relayed     relayed
@@ -77,6 +82,9 @@
 	if time.Until(x.deadline) < leastLeft {
 		return done, x.late()
 	}
+	if x.outOfTries(last) {
+		return done, x.giveUp(last)
+	}
 	arrived := x.sends > 0 && last != unreachable && last != endpointError
 	if arrived && !x.gateway.state.takeRetry(x.service) {
 		return done, x.giveUp(retriesSpent)
@@ -102,6 +110,15 @@
 	return next, refused
 }
 
+// outOfTries counts a send that did not reach its endpoint, and tells whether
+// there were enough of them.
+func (x *exchange) outOfTries(last refusal) bool {
+	if last == unreachable {
+		x.unreachable++
+	}
+	return x.unreachable >= unreachableMost
+}
+
 // giveUp returns the final refusal: not run only when nothing can have run.
 func (x *exchange) giveUp(r refusal) refusal {
 	if x.attempts > 0 {
--- a/io/gateway/serve_test.go
+++ b/io/gateway/serve_test.go
@@ -29,3 +29,22 @@
 		})
 	}
 })
+
+var _ = Describe("outOfTries", func() {
+	It("ends after a few endpoints without a connection, however many there are", func() {
+		x := &exchange{}
+		tries := 0
+		for last := noEndpoint; !x.outOfTries(last); last = unreachable {
+			tries++
+			Expect(tries).To(BeNumerically("<=", unreachableMost))
+		}
+		Expect(tries).To(Equal(unreachableMost))
+	})
+
+	It("does not count endpoints that rejected the request", func() {
+		x := &exchange{}
+		for range 20 {
+			Expect(x.outOfTries(endpointsFull)).To(BeFalse())
+		}
+	})
+})
