Remove an index and a report that nothing reads

route.Table.AccountNamed with its map, and escrow.Book.Unspent. No behaviour changes; vet, staticcheck and the tests of the packages touched pass.

--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -180,17 +180,6 @@
 	b.dirty = true
 }
 
-// Unspent returns a copy of what each account has free, for reports.
-func (b *Book) Unspent(now time.Time) map[string]int64 {
-	free := map[string]int64{}
-	for name, a := range b.accounts {
-		if a.limited {
-			free[name] = a.free(now)
-		}
-	}
-	return free
-}
-
 // Outcome is the store's answer to a transaction.
 type Outcome struct {
 	Applied bool
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -12,7 +12,6 @@
 	byHost   map[string][]*Route // longest prefix first
 	keys     map[string]*Account
 	services map[string]*Service
-	accounts map[string]*Account
 }
 
 // NewTable indexes a document.
@@ -22,7 +21,6 @@
 		byHost:   map[string][]*Route{},
 		keys:     map[string]*Account{},
 		services: map[string]*Service{},
-		accounts: map[string]*Account{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -37,7 +35,6 @@
 	}
 	for i := range d.Accounts {
 		a := &d.Accounts[i]
-		t.accounts[a.Name] = a
 		for _, k := range a.Keys {
 			t.keys[k] = a
 		}
@@ -66,9 +63,6 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// AccountNamed returns an account by name, or nil.
-func (t *Table) AccountNamed(name string) *Account { return t.accounts[name] }
-
 // Pick returns the service that takes a request, by the weights of the
 // route's splits. point is uniform in [0, 1).
 func (r *Route) Pick(point float64) string {
