Budgets are kept by eight homes for each group of accounts; the other VMs borrow

Ruled out: exhausted budgets (of an account's tokens most were free at others in every refusal that was read).

Change: accounts fall into BUDGET_GROUPS groups, each in a part of its own; eight VMs by rendezvous hashing hold a group's budgets, others ask them over QUIC for what a request needs and give back what rests. VMs register in a table of their own. With up to eight VMs every VM is a home, as before. A repayment is carried out at most once: named incarnation, rising numbers.

--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -76,7 +76,7 @@
 		Name: s.Name, Incarnation: uuid.NewString(), Domain: s.Domain,
 		Listen: s.Listen, Ready: s.Ready, Peer: s.Peer, Control: s.Control, Seeds: s.Seeds, Metrics: s.Metrics,
 		Retries:      retrybudget.Bound{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		BudgetReport: s.Report,
-		Grace:        s.Grace, AddressReuse: s.AddressReuse,
+		BudgetReport: s.Report, BudgetGroups: s.BudgetGroups, StoreWrites: s.StoreWrites,
+		Grace: s.Grace,
 	}
 }
--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -83,7 +83,7 @@
 		return
 	}
 	weight := 1 - math.Exp(-passed.Seconds()/rateSpan.Seconds())
-	a.rate += weight * (float64(a.recent)/passed.Seconds() - a.rate)
+	a.rate = max(a.rate+weight*(float64(a.recent)/passed.Seconds()-a.rate), 0)
 	a.recent = 0
 	a.rated = now
 }
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -62,7 +62,8 @@
 	clock       storeClock
 	reported    time.Time
 	dirty       bool
-	vms         int // VMs with a holding, this one included
+	homes       int  // VMs that hold these accounts
+	home        bool // this VM is one of them
 }
 
 // storeClock gives lower estimates of the store's clock.
@@ -81,9 +82,21 @@
 // New returns the book of a VM's new incarnation, which other VMs reach at an
 // IP:port.
 func New(vm, incarnation, address string, p Policy) *Book {
-	return &Book{policy: p, vm: vm, incarnation: incarnation, address: address, accounts: map[string]*account{}}
+	return &Book{policy: p, vm: vm, incarnation: incarnation, address: address, accounts: map[string]*account{}, homes: 1}
 }
 
+// SetHomes says how many VMs hold the book's accounts, and whether this one is
+// among them. A VM that is not holds nothing in the store and borrows.
+func (b *Book) SetHomes(count int, home bool) {
+	if b.home != home {
+		b.dirty = true
+	}
+	b.homes, b.home = max(count, 1), home
+}
+
+// Home tells whether this VM holds the book's accounts.
+func (b *Book) Home() bool { return b.home }
+
 // Clock takes what the store's clock showed in an answer that came now.
 func (b *Book) Clock(ms int64, now time.Time) { b.clock = storeClock{ms: ms, at: now} }
 
--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -47,8 +47,11 @@
 	if a == nil {
 		return 0, 0
 	}
+	if !b.home {
+		a.measure(now)
+	}
 	need = max(tokens-a.free(now), 0)
-	return need, need + int64(a.rate*borrowSpan.Seconds())
+	return need, max(need, a.lacks(now)) + int64(a.rate*borrowSpan.Seconds())
 }
 
 // Lender is a VM that may have tokens to give.
@@ -70,25 +73,3 @@
 	sort.Slice(lenders, func(i, j int) bool { return lenders[i].Free > lenders[j].Free })
 	return lenders
 }
-
-// Peers returns the addresses of the other VMs.
-func (b *Book) Peers() []string {
-	var addresses []string
-	for vm, h := range b.snapshot.Holdings {
-		if vm != b.vm && h.Holding.Address != "" {
-			addresses = append(addresses, h.Holding.Address)
-		}
-	}
-	return addresses
-}
-
-// Snapshot returns what was last read of the whole store.
-func (b *Book) Snapshot() Snapshot { return b.snapshot }
-
-// Advise takes another VM's snapshot, which names lenders, as long as this VM
-// has none of its own.
-func (b *Book) Advise(s Snapshot) {
-	if !b.ready {
-		b.snapshot = s
-	}
-}
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -14,7 +14,7 @@
 const (
 	propertyRuns  = 10_000
 	propertySteps = 220
-	propertyVMs   = 3
+	propertyVMs   = 4
 )
 
 // store is the platform's store as the property sees it: rows with versions, a
@@ -116,9 +116,11 @@
 		}
 	}
 	w.starts++
+	home := v.book == nil || v.book.Home()
 	v.running, v.frozen, v.fenced = nil, false, false
 	v.started = v.now
 	v.book = New(v.name, fmt.Sprintf("%s-%d", v.name, w.starts), "10.0.0.1:1", Policy{Report: 500 * time.Millisecond})
+	v.book.SetHomes(propertyVMs-1, home)
 	for name, p := range w.prepaid {
 		v.book.Configure(name, p, true)
 	}
@@ -143,7 +145,7 @@
 // step does one random thing.
 func (w *world) step() {
 	v := w.vms[w.random.IntN(len(w.vms))]
-	switch w.random.IntN(36) {
+	switch w.random.IntN(41) {
 	case 0:
 		w.lost = !w.lost
 	case 1:
@@ -162,6 +164,12 @@
 		w.carryOutLate()
 	case 6, 7:
 		w.lend(v)
+	case 36, 37:
+		w.supply(v)
+	case 38, 39:
+		w.repay(v)
+	case 40:
+		v.book.SetHomes(propertyVMs-1, w.random.IntN(3) > 0)
 	case 8, 9, 10, 11, 12, 13, 14, 15, 16:
 		w.request(v)
 	case 17, 18, 19, 20, 21:
@@ -210,6 +218,33 @@
 	}
 }
 
+// supply lends from any VM, as those that ask may not know the homes.
+func (w *world) supply(v *vm) {
+	o := w.vms[w.random.IntN(len(w.vms))]
+	if o == v || o.frozen || v.frozen {
+		return
+	}
+	name := w.account()
+	need := w.random.Int64N(2_000)
+	given := o.book.Supply(name, need, need+w.random.Int64N(2_000), o.now)
+	if w.random.IntN(5) > 0 { // else the answer is lost
+		v.book.Borrowed(name, given)
+	}
+}
+
+// repay gives back to any VM.
+func (w *world) repay(v *vm) {
+	o := w.vms[w.random.IntN(len(w.vms))]
+	if o == v || o.frozen || v.frozen {
+		return
+	}
+	name := w.account()
+	r := v.book.Repay(name, v.now)
+	if w.random.IntN(5) > 0 { // else it is lost
+		o.book.Repaid(name, r)
+	}
+}
+
 func (w *world) request(v *vm) {
 	if v.frozen || v.fenced {
 		return
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -29,10 +29,6 @@
 // Observe takes a snapshot of the whole store.
 func (b *Book) Observe(s Snapshot) {
 	b.snapshot = s
-	b.vms = len(s.Holdings)
-	if _, ok := s.Holdings[b.vm]; !ok {
-		b.vms++
-	}
 	b.readAll(s)
 	for name, a := range b.accounts {
 		if a.version < 0 {
@@ -64,9 +60,6 @@
 	}
 }
 
-// VMs returns the number of VMs with a holding, this one included.
-func (b *Book) VMs() int { return b.vms }
-
 // Ready tells whether Start was called.
 func (b *Book) Ready() bool { return b.ready }
 
--- /dev/null
+++ b/core/home/home_test.go
@@ -0,0 +1,84 @@
+package home
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func fleet(count int) []VM {
+	var vms []VM
+	for i := range count {
+		vms = append(vms, VM{Name: fmt.Sprintf("vm%d", i), StoreMs: 100_000})
+	}
+	return vms
+}
+
+func names(vms []VM) []string {
+	var list []string
+	for _, v := range vms {
+		list = append(list, v.Name)
+	}
+	return list
+}
+
+var _ = Describe("Living", func() {
+	for _, t := range []struct {
+		name    string
+		storeMs []int64
+		living  []string
+	}{
+		{"none", nil, nil},
+		{"all lately", []int64{100_000, 95_000}, []string{"vm0", "vm1"}},
+		{"one long ago", []int64{100_000, 60_000}, []string{"vm0"}},
+		{"all long ago, as the store is out", []int64{20_000, 19_000}, []string{"vm0", "vm1"}},
+	} {
+		It(t.name, func() {
+			vms := fleet(len(t.storeMs))
+			for i, ms := range t.storeMs {
+				vms[i].StoreMs = ms
+			}
+			Expect(names(Living(vms))).To(Equal(t.living))
+		})
+	}
+})
+
+var _ = Describe("Of", func() {
+	It("makes every VM of a small fleet a home", func() {
+		Expect(Of(3, fleet(5))).To(HaveLen(5))
+	})
+
+	It("changes few homes when a VM joins or leaves", func() {
+		before, after := Of(1, fleet(83)), Of(1, fleet(84))
+		same := 0
+		for _, name := range names(after) {
+			for _, b := range names(before) {
+				if b == name {
+					same++
+				}
+			}
+		}
+		Expect(same).To(BeNumerically(">=", Count-1))
+	})
+
+	It("does not depend on the order of the VMs", func() {
+		vms := fleet(20)
+		turned := append(append([]VM{}, vms[7:]...), vms[:7]...)
+		Expect(names(Of(2, turned))).To(Equal(names(Of(2, vms))))
+	})
+})
+
+var _ = Describe("OrderFor", func() {
+	It("spreads the VMs over the homes", func() {
+		homes := Of(0, fleet(83))
+		first := map[string]int{}
+		for _, v := range fleet(400) {
+			first[OrderFor(v.Name, homes)[0].Name]++
+		}
+		Expect(first).To(HaveLen(Count))
+		for _, n := range first {
+			Expect(n).To(BeNumerically("<", 2*400/Count))
+		}
+	})
+})
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -12,124 +12,36 @@
 
 	"github.com/pkg/errors"
 
-	"hawthornspar/core/entity"
-	"hawthornspar/core/escrow"
-	"hawthornspar/core/inbox"
-	"hawthornspar/io/certificate"
+	"hawthornspar/core/home"
 	"hawthornspar/io/peer"
 )
 
 // Bounds of borrowing.
 const (
-	// storeFirst is how long the store has to lift a shortage, several of its
-	// usual answers, before other VMs are asked.
+	// storeFirst is how long the store has to lift a home's shortage, several of
+	// its usual answers, before other homes are asked.
 	storeFirst = 40 * time.Millisecond
-	// lenderTimeout bounds a question to another VM: a handshake and an
-	// answer inside a region.
+	// lenderTimeout bounds a question to another VM: a handshake, its wait for
+	// the store and an answer inside a region.
 	lenderTimeout = 150 * time.Millisecond
 	// lendersAsked bounds the VMs asked for one request.
 	lendersAsked = 4
 	// lenderPause follows a question that failed.
 	lenderPause = 2 * time.Second
-	// exhaustedPause follows questions that did not bring enough, about the time
+	// shortagePause follows questions that did not bring enough, about the time
 	// until the next reading of what others hold.
-	exhaustedPause = 700 * time.Millisecond
-	// certificateLife is longer than any VM runs.
-	certificateLife = 365 * 24 * time.Hour
-	// authorityKey names the fleet's certificate authority in the store.
-	authorityKey = "authority"
-	// lendPath is the path that lends.
-	lendPath = "/budget/lend"
-	// lendBytes bounds a question and its answer.
-	lendBytes = 4 << 10
+	shortagePause = 700 * time.Millisecond
+	// greetSpread spreads the first connections to homes, as all VMs may start
+	// at once.
+	greetSpread = 3 * time.Second
 )
 
-// loan is a question for tokens, and its answer.
-type loan struct {
-	Account string `json:"account,omitempty"`
-	Need    int64  `json:"need,omitempty"`
-	Want    int64  `json:"want,omitempty"`
-	Given   int64  `json:"given,omitempty"`
-}
-
-// peerOpener opens the channel between VMs once the store has the fleet's keys.
-type peerOpener struct{ gateway *Gateway }
-
-func (o *peerOpener) run(ctx context.Context) {
-	if o.gateway.settings.Peer == "" {
-		return
-	}
-	for ctx.Err() == nil {
-		node, err := o.open(ctx)
-		if err == nil {
-			o.gateway.borrower.use(node)
-			o.gateway.log.Info("peers open", "address", o.gateway.settings.Peer)
-			return
-		}
-		o.gateway.log.Info("peers not open", "error", err.Error())
-		sleep(ctx, jitter(failPause))
-	}
-}
-
-func (o *peerOpener) open(ctx context.Context) (*peer.Node, error) {
-	g := o.gateway
-	authority, err := o.authority(ctx)
-	if err != nil {
-		return nil, err
-	}
-	own, err := certificate.NewVM(authority, g.settings.Name, time.Now(), certificateLife)
-	if err != nil {
-		return nil, err
-	}
-	mutual, err := certificate.Mutual(authority.Certificate, own)
-	if err != nil {
-		return nil, err
-	}
-	self := entity.VM{Name: g.settings.Name, Incarnation: g.settings.Incarnation, Address: g.settings.Peer, Domain: g.settings.Domain}
-	return peer.Listen(self, g.settings.Peer, mutual, http.HandlerFunc(g.servePeer), func(inbox.Event) {}, g.log)
-}
-
-// authority returns the fleet's certificate authority: from the store, or from
-// another VM that told it meanwhile.
-func (o *peerOpener) authority(ctx context.Context) (certificate.Pair, error) {
-	mine, err := certificate.NewAuthority(time.Now(), certificateLife)
-	if err != nil {
-		return certificate.Pair{}, err
-	}
-	raw, err := json.Marshal(mine)
-	if err != nil {
-		return certificate.Pair{}, errors.Wrap(err, "authority")
-	}
-	raw, err = o.gateway.store.Shared(ctx, authorityKey, raw)
-	if known := o.gateway.authority.Load(); known != nil {
-		return *known, nil
-	}
-	if err != nil {
-		return certificate.Pair{}, err
-	}
-	var shared certificate.Pair
-	if err := json.Unmarshal(raw, &shared); err != nil {
-		return certificate.Pair{}, errors.Wrap(err, "authority")
-	}
-	o.gateway.authority.Store(&shared)
-	return shared, nil
-}
-
-// serveLoan gives another VM tokens.
-func (g *Gateway) serveLoan(w http.ResponseWriter, r *http.Request) {
-	var asked loan
-	if err := json.NewDecoder(io.LimitReader(r.Body, lendBytes)).Decode(&asked); err != nil {
-		g.log.Info("unreadable question for budget", "error", err.Error())
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	g.state.mu.Lock()
-	given := g.state.book.Lend(asked.Account, asked.Need, asked.Want, time.Now())
-	g.state.mu.Unlock()
-	g.log.Info("budget lent", "account", asked.Account, "need", asked.Need, "given", given)
-	if err := json.NewEncoder(w).Encode(loan{Given: given}); err != nil {
-		g.log.Info("budget lent in vain", "account", asked.Account, "given", given, "error", err.Error())
-	}
+// shortage is what the other VMs lately could not give of an account.
+type shortage struct {
+	tokens    int64     // that were asked for
+	until     time.Time // when it is worth asking again
+	exhausted bool      // a home says that no VM can have as much
+	later     bool      // a home says that it may give them at until
 }
 
 // borrower asks other VMs for tokens, for one request of an account at a time.
@@ -139,11 +51,12 @@
 	node      *peer.Node
 	busy      map[string]bool      // accounts
 	failed    map[string]time.Time // VMs that did not answer
-	exhausted map[string]time.Time // accounts of which the others gave too little
+	greeted   map[string]bool      // addresses to which a connection was opened
+	shortages map[string]shortage  // by account
 }
 
 func newBorrower(g *Gateway) *borrower {
-	return &borrower{gateway: g, busy: map[string]bool{}, failed: map[string]time.Time{}, exhausted: map[string]time.Time{}}
+	return &borrower{gateway: g, busy: map[string]bool{}, failed: map[string]time.Time{}, greeted: map[string]bool{}, shortages: map[string]shortage{}}
 }
 
 func (b *borrower) use(n *peer.Node) {
@@ -162,8 +75,13 @@
 // anyPeer returns the address of some other VM; false when none is known or the
 // channel to them is not open.
 func (b *borrower) anyPeer() (string, bool) {
+	var addresses []string
 	b.gateway.state.mu.Lock()
-	addresses := b.gateway.state.book.Peers()
+	for _, v := range b.gateway.state.members {
+		if v.Name != b.gateway.settings.Name && v.Address != "" {
+			addresses = append(addresses, v.Address)
+		}
+	}
 	b.gateway.state.mu.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -173,29 +91,93 @@
 	return addresses[rand.IntN(len(addresses))], true
 }
 
+// greet opens a connection to a home before the first request needs it.
+func (b *borrower) greet(v home.VM) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.greeted[v.Address] || v.Address == "" {
+		return
+	}
+	b.greeted[v.Address] = true
+	t := &greeting{borrower: b, to: v}
+	go t.run()
+}
+
+// greeting is one early connection.
+type greeting struct {
+	borrower *borrower
+	to       home.VM
+}
+
+func (t *greeting) run() {
+	time.Sleep(rand.N(greetSpread))
+	if _, err := t.borrower.lend(t.to, loan{}); err != nil {
+		t.borrower.gateway.log.V(1).Info("home not greeted", "home", t.to.Name, "error", err.Error())
+	}
+}
+
 // ask starts borrowing for a request, unless the account has it going already.
-func (b *borrower) ask(account string, tokens int64) {
+func (b *borrower) ask(r *group, account string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.node == nil || b.busy[account] || time.Since(b.exhausted[account]) < exhaustedPause {
+	if b.node == nil || b.busy[account] {
 		return
 	}
 	b.busy[account] = true
-	q := &question{borrower: b, node: b.node, account: account, tokens: tokens}
+	q := &question{borrower: b, group: r, account: account, tokens: tokens}
 	go q.run()
 }
 
+// short tells whether the other VMs lately could not give as much of an account.
+func (b *borrower) short(account string, tokens int64) (shortage, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.shortages[account]
+	return s, ok && tokens >= s.tokens && time.Now().Before(s.until)
+}
+
+func (b *borrower) note(account string, s shortage) {
+	b.mu.Lock()
+	b.shortages[account] = s
+	b.mu.Unlock()
+}
+
+func (b *borrower) markFailed(v home.VM, err error) {
+	b.mu.Lock()
+	b.failed[v.Name] = time.Now()
+	node := b.node
+	b.mu.Unlock()
+	node.Drop(v.Address)
+	b.gateway.metrics.Count("lenders_lost", "noAnswer")
+	b.gateway.log.Info("lender lost", "lender", v.Name, "error", err.Error())
+}
+
+// answering returns the VMs of a list without those that did not answer lately.
+func (b *borrower) answering(vms []home.VM) []home.VM {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []home.VM
+	for _, v := range vms {
+		if time.Since(b.failed[v.Name]) > lenderPause {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
 // question borrows for one request.
 type question struct {
 	borrower *borrower
-	node     *peer.Node
+	group    *group
 	account  string
 	tokens   int64
+	asked    int      // lenders that answered
+	answers  shortage // what they said
 }
 
 func (q *question) run() {
 	defer q.end()
-	if !q.borrower.gateway.storeLost.Load() {
+	if q.keeps() && !q.group.storeLost.Load() {
 		time.Sleep(storeFirst)
 	}
 	for _, l := range q.lenders() {
@@ -204,95 +186,135 @@
 			return
 		}
 		q.borrow(l, need, want)
+		if q.answers.exhausted {
+			break
+		}
 	}
-	if need, _ := q.lack(); need > 0 {
-		q.borrower.markExhausted(q.account)
+	if need, _ := q.lack(); need > 0 && q.asked > 0 {
+		q.fall(need)
 	}
 }
 
-func (b *borrower) markExhausted(account string) {
-	b.mu.Lock()
-	b.exhausted[account] = time.Now()
-	b.mu.Unlock()
-	b.gateway.state.mu.Lock()
-	defer b.gateway.state.mu.Unlock()
-	b.gateway.state.bookChanged()
-}
-
-// isExhausted tells whether the other VMs lately had too little of an account.
-func (b *borrower) isExhausted(account string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Since(b.exhausted[account]) < exhaustedPause
+// fall notes that the others could not help.
+func (q *question) fall(need int64) {
+	now := time.Now()
+	s := q.answers
+	s.tokens = need
+	if !s.later || s.until.After(now.Add(shortagePause)) {
+		s.later = s.later && !s.exhausted
+		s.until = now.Add(shortagePause)
+	}
+	q.borrower.gateway.log.V(1).Info("budget not borrowed", "account", q.account, "need", need, "exhausted", s.exhausted, "later", s.later)
+	q.borrower.note(q.account, s)
 }
 
+// end lets the account's next question begin, and wakes those that wait.
 func (q *question) end() {
 	q.borrower.mu.Lock()
-	defer q.borrower.mu.Unlock()
 	delete(q.borrower.busy, q.account)
+	q.borrower.mu.Unlock()
+	s := q.borrower.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.group.changed()
+}
+
+func (q *question) keeps() bool {
+	s := q.borrower.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return q.group.keeps()
 }
 
 func (q *question) lack() (need, want int64) {
 	s := q.borrower.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Lack(q.account, q.tokens, time.Now())
+	return q.group.book.Lack(q.account, q.tokens, time.Now())
 }
 
-// lenders returns the VMs to ask, without those that did not answer lately.
-func (q *question) lenders() []escrow.Lender {
+// lenders returns the VMs to ask: a home knows what the others hold.
+func (q *question) lenders() []home.VM {
 	s := q.borrower.gateway.state
 	s.mu.Lock()
-	all := s.book.Lenders(q.account)
-	s.mu.Unlock()
-	q.borrower.mu.Lock()
-	defer q.borrower.mu.Unlock()
-	var lenders []escrow.Lender
-	for _, l := range all {
-		if time.Since(q.borrower.failed[l.VM]) > lenderPause && len(lenders) < lendersAsked {
-			lenders = append(lenders, l)
+	var vms []home.VM
+	if q.group.keeps() {
+		for _, l := range q.group.book.Lenders(q.account) {
+			vms = append(vms, home.VM{Name: l.VM, Address: l.Address})
 		}
+	} else {
+		vms = q.group.homes
 	}
-	return lenders
+	s.mu.Unlock()
+	vms = q.borrower.answering(vms)
+	return vms[:min(len(vms), lendersAsked)]
 }
 
-func (q *question) borrow(l escrow.Lender, need, want int64) {
+func (q *question) borrow(v home.VM, need, want int64) {
 	g := q.borrower.gateway
-	given, err := q.exchange(l, loan{Account: q.account, Need: need, Want: want})
+	answer, err := q.borrower.lend(v, loan{Account: q.account, Need: need, Want: want, Home: q.keeps()})
 	if err != nil {
-		q.borrower.mu.Lock()
-		q.borrower.failed[l.VM] = time.Now()
-		q.borrower.mu.Unlock()
-		g.log.Info("lender lost", "lender", l.VM, "error", err.Error())
+		q.borrower.markFailed(v, err)
 		return
 	}
-	g.log.Info("budget borrowed", "account", q.account, "lender", l.VM, "need", need, "given", given)
-	if given == 0 {
+	g.log.V(1).Info("budget borrowed", "account", q.account, "lender", v.Name, "need", need, "given", answer.Given,
+		"exhausted", answer.Exhausted, "laterMs", answer.LaterMs)
+	q.asked++
+	q.hear(answer)
+	if answer.Given == 0 {
 		return
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	g.state.book.Borrowed(q.account, given)
-	g.state.bookChanged()
+	q.group.book.Borrowed(q.account, answer.Given)
+	q.group.changed()
+}
+
+// hear keeps what an answer says of later questions: the earliest time wins.
+func (q *question) hear(answer loan) {
+	q.answers.exhausted = q.answers.exhausted || answer.Exhausted
+	if answer.LaterMs == 0 {
+		return
+	}
+	at := time.Now().Add(time.Duration(answer.LaterMs) * time.Millisecond)
+	if !q.answers.later || at.Before(q.answers.until) {
+		q.answers.later, q.answers.until = true, at
+	}
+}
+
+// lend asks a VM for tokens.
+func (b *borrower) lend(v home.VM, asked loan) (loan, error) {
+	var answer loan
+	err := b.post(v, lendPath, asked, &answer)
+	return answer, err
 }
 
-func (q *question) exchange(l escrow.Lender, asked loan) (int64, error) {
-	raw, err := json.Marshal(asked)
+// post sends a message to another VM and reads its answer.
+func (b *borrower) post(v home.VM, path string, message, answer any) error {
+	b.mu.Lock()
+	node := b.node
+	b.mu.Unlock()
+	if node == nil {
+		return errors.WithStack(&NoPeerError{})
+	}
+	raw, err := json.Marshal(message)
 	if err != nil {
-		return 0, errors.Wrap(err, "question")
+		return errors.Wrap(err, "message")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lenderTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+l.Address+lendPath, bytes.NewReader(raw))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+v.Address+path, bytes.NewReader(raw))
 	if err != nil {
-		return 0, errors.Wrap(err, "question")
+		return errors.Wrap(err, "message")
 	}
-	response, err := q.node.RoundTrip(request)
+	response, err := node.RoundTrip(request)
 	if err != nil {
-		return 0, errors.Wrap(err, "lender")
+		return errors.Wrap(err, "VM")
 	}
 	defer response.Body.Close()
-	var answer loan
-	err = json.NewDecoder(io.LimitReader(response.Body, lendBytes)).Decode(&answer)
-	return answer.Given, errors.Wrap(err, "lender's answer")
+	if response.StatusCode != http.StatusOK {
+		return errors.WithStack(&ViewError{Status: response.StatusCode})
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, messageBytes)).Decode(answer)
+	return errors.Wrap(err, "VM's answer")
 }
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -5,23 +5,25 @@
 	"time"
 
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/home"
 )
 
 // Pace of the budget keeper.
 const (
 	// budgetTick is how often it looks whether a write is due.
 	budgetTick = 250 * time.Millisecond
-	// censusPeriod is the time between reads of the other VMs' holdings for
-	// each VM there is, so that all VMs together read the same rows a second
+	// censusPeriod is the time between reads of the other homes' holdings for
+	// each home there is, so that all homes together read the same rows a second
 	// whatever their number.
-	censusPeriod = 100 * time.Millisecond
+	censusPeriod = 150 * time.Millisecond
 	// writeShare is the part of the store's write rate that budgets may use.
 	writeShare = 0.8
 )
 
-// budgetKeeper carries the book's transactions to the store.
+// budgetKeeper carries the transactions of a group's book to the store.
 type budgetKeeper struct {
 	gateway *Gateway
+	group   *group
 	store   dependency
 	census  time.Time // of the last read of all rows
 }
@@ -31,7 +33,7 @@
 	for ctx.Err() == nil {
 		err := k.step(ctx)
 		k.store.note(k.gateway, err)
-		k.gateway.storeLost.Store(err != nil)
+		k.group.storeLost.Store(err != nil)
 		if err != nil {
 			sleep(ctx, jitter(failPause))
 			continue
@@ -43,16 +45,13 @@
 // rest keeps this VM's share of the store's write rate, then waits for a
 // request that lacks budget, or a while.
 func (k *budgetKeeper) rest(ctx context.Context) {
-	k.gateway.state.mu.Lock()
-	vms := k.gateway.state.vms
-	k.gateway.state.mu.Unlock()
-	spacing := time.Duration(float64(vms) / (writeShare * k.gateway.reloaded.Load().StoreWrites) * float64(time.Second))
+	spacing := time.Duration(float64(home.Count) / (writeShare * k.gateway.reloaded.Load().StoreWrites) * float64(time.Second))
 	sleep(ctx, spacing)
 	t := time.NewTimer(budgetTick)
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-k.gateway.kick:
+	case <-k.group.kick:
 	case <-ctx.Done():
 	}
 }
@@ -69,16 +68,11 @@
 
 // read takes over from the predecessor and refreshes what is known of others.
 func (k *budgetKeeper) read(ctx context.Context) error {
-	s := k.gateway.state
-	s.mu.Lock()
-	unread := !s.book.Ready() || s.book.Unread()
-	period := time.Duration(s.vms) * censusPeriod
-	s.mu.Unlock()
-	if !unread && time.Since(k.census) < period {
+	if !k.readDue() {
 		return nil
 	}
 	asked := time.Now()
-	snapshot, storeMs, err := k.gateway.store.Budgets(ctx)
+	snapshot, storeMs, err := k.gateway.store.Budgets(ctx, k.group.number)
 	if err != nil {
 		return err
 	}
@@ -87,6 +81,20 @@
 	return nil
 }
 
+// readDue tells whether the group is to be read: once by every VM, for what its
+// predecessor held, and from time to time by its homes.
+func (k *budgetKeeper) readDue() bool {
+	s := k.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	book := k.group.book
+	if !book.Ready() {
+		return true
+	}
+	period := time.Duration(len(k.group.homes)+1) * censusPeriod
+	return book.Home() && (book.Unread() || time.Since(k.census) >= period)
+}
+
 // observe takes a snapshot that was asked for at a time. The store's clock was
 // read after that, so it showed no more than storeMs less the time since the
 // start when this process began and its predecessor was dead.
@@ -94,32 +102,24 @@
 	s := k.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Clock(storeMs, time.Now())
+	book := k.group.book
+	book.Clock(storeMs, time.Now())
 	own := snapshot.Holdings[k.gateway.settings.Name]
-	s.book.Observe(snapshot)
-	count := s.book.VMs()
-	if !s.book.Ready() {
-		s.book.Start(own.Holding, own.Version, storeMs-asked.Sub(k.gateway.started).Milliseconds())
-		count = max(count, defaultVMs)
+	book.Observe(snapshot)
+	if !book.Ready() {
+		book.Start(own.Holding, own.Version, storeMs-asked.Sub(k.gateway.started).Milliseconds())
+		k.gateway.log.Info("budgets taken over", "group", k.group.number, "version", own.Version, "accounts", len(own.Holding.Accounts))
 	}
-	if count != s.vms {
-		k.gateway.log.Info("VMs counted", "vms", count, "before", s.vms)
-	}
-	s.vms = count
 }
 
 // write sends the transaction that is due.
 func (k *budgetKeeper) write(ctx context.Context) error {
-	s := k.gateway.state
 	now := time.Now()
-	s.mu.Lock()
-	if !s.book.Due(now) {
-		s.mu.Unlock()
+	t := k.plan(now)
+	if t == nil {
 		return nil
 	}
-	t := s.book.Plan(now)
-	s.mu.Unlock()
-	outcome, err := k.gateway.store.Transact(ctx, t)
+	outcome, err := k.gateway.store.Transact(ctx, k.group.number, t)
 	k.gateway.metrics.Time("store_seconds", "transact", time.Since(now))
 	if err != nil {
 		return err
@@ -128,43 +128,55 @@
 	return nil
 }
 
+// plan returns the transaction that is due; nil for none.
+func (k *budgetKeeper) plan(now time.Time) *escrow.Transaction {
+	s := k.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !k.group.book.Due(now) {
+		return nil
+	}
+	return k.group.book.Plan(now)
+}
+
 func (k *budgetKeeper) apply(t *escrow.Transaction, o escrow.Outcome) {
 	s := k.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Clock(o.StoreMs, time.Now())
+	book := k.group.book
+	book.Clock(o.StoreMs, time.Now())
 	owned := true
 	if o.Applied {
-		s.book.Applied(o.Version)
+		book.Applied(o.Version)
 	} else {
-		owned = s.book.Conflict(o.Current)
+		owned = book.Conflict(o.Current)
 	}
 	if !owned {
 		k.gateway.log.Info("another incarnation has this VM's budgets")
 	}
-	s.bookChanged()
+	k.group.changed()
 	for _, c := range t.Totals {
 		k.gateway.log.Info("budget drawn", "account", c.Account, "applied", o.Applied, "tokens", c.Grant, "reclaimed", c.Reclaim, "left", c.Left,
 			"spent", t.Holding.Accounts[c.Account].Spent, "sequence", t.Holding.Sequence)
 	}
 }
 
-// close returns what is free, for at most the given time.
-func (k *budgetKeeper) close(limit time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
+// close returns what is free, until the context ends.
+func (k *budgetKeeper) close(ctx context.Context) {
 	s := k.gateway.state
 	s.mu.Lock()
-	s.book.Close()
-	due := s.book.Due(time.Now())
+	k.group.book.Close()
 	s.mu.Unlock()
-	for due && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		due := k.group.book.Due(time.Now())
+		s.mu.Unlock()
+		if !due {
+			return
+		}
 		if err := k.write(ctx); err != nil {
-			k.gateway.log.Info("budget not returned", "error", err.Error())
+			k.gateway.log.Info("budget not returned", "group", k.group.number, "error", err.Error())
 			sleep(ctx, failPause)
 		}
-		s.mu.Lock()
-		due = s.book.Due(time.Now())
-		s.mu.Unlock()
 	}
 }
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -10,6 +10,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/home"
 	"hawthornspar/core/route"
 )
 
@@ -55,9 +56,12 @@
 	WatchConfiguration(ctx context.Context, version int64, wait time.Duration) (*route.Document, int64, error)
 	Registry(context.Context) (endpoints.RegistryChange, int64, error)
 	WatchRegistry(ctx context.Context, version int64, wait time.Duration) (endpoints.RegistryChange, int64, error)
-	// Budgets also returns the store's clock in milliseconds.
-	Budgets(context.Context) (escrow.Snapshot, int64, error)
-	Transact(context.Context, *escrow.Transaction) (escrow.Outcome, error)
+	// Budgets reads a group of accounts, and the store's clock in milliseconds.
+	Budgets(ctx context.Context, group int) (escrow.Snapshot, int64, error)
+	Transact(ctx context.Context, group int, t *escrow.Transaction) (escrow.Outcome, error)
+	// VMs reads the registered VMs, and the store's clock in milliseconds.
+	VMs(context.Context) ([]home.VM, int64, error)
+	Register(context.Context, home.VM) error
 	HistoryLost(error) bool
 	// Shared returns the fleet's value under a key; the first VM sets it.
 	Shared(ctx context.Context, key string, value []byte) ([]byte, error)
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -165,7 +165,7 @@
 	if x.reservation == nil {
 		return
 	}
-	x.gateway.state.settle(x.reservation, x.used())
+	x.gateway.state.settle(x.account.Name, x.reservation, x.used())
 }
 
 // used returns the tokens that the request is billed: its prompt once, and the
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"hawthornspar/core/endpoints"
-	"hawthornspar/core/escrow"
+	"hawthornspar/core/home"
 	"hawthornspar/core/route"
 	"hawthornspar/io/certificate"
 )
@@ -38,7 +38,7 @@
 	Configuration   *route.Document          `json:"configuration,omitempty"`
 	Endpoints       []endpoints.Registration `json:"endpoints,omitempty"`
 	RegistryVersion int64                    `json:"registryVersion"`
-	Budgets         *escrow.Snapshot         `json:"budgets,omitempty"`
+	VMs             []home.VM                `json:"vms,omitempty"`
 }
 
 // viewQuery says what the asking VM has.
@@ -52,6 +52,8 @@
 	switch r.URL.Path {
 	case lendPath:
 		g.serveLoan(w, r)
+	case repayPath:
+		g.serveRepayment(w, r)
 	case viewPath:
 		g.serveView(w, r, nil)
 	default:
@@ -73,9 +75,6 @@
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request, authority *certificate.Pair) {
 	v := g.state.view(number(r.URL, "configuration"), number(r.URL, "registry"))
 	v.Authority = authority
-	if authority == nil {
-		v.Budgets = nil
-	}
 	if err := json.NewEncoder(w).Encode(v); err != nil {
 		g.log.V(1).Info("view not told", "error", err.Error())
 	}
@@ -94,15 +93,13 @@
 func (s *state) view(configuration, registry int64) view {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := view{RegistryVersion: s.registryVersion}
+	v := view{RegistryVersion: s.registryVersion, VMs: s.members}
 	if s.table != nil && s.table.Document.Version > configuration {
 		v.Configuration = s.table.Document
 	}
 	if s.registry && s.registryVersion > registry {
 		v.Endpoints = s.endpoints.Registrations(time.Now())
 	}
-	budgets := s.book.Snapshot()
-	v.Budgets = &budgets
 	return v
 }
 
@@ -200,9 +197,7 @@
 	if v.Authority != nil {
 		g.authority.CompareAndSwap(nil, v.Authority)
 	}
-	if v.Budgets != nil && v.Budgets.Holdings != nil {
-		g.state.mu.Lock()
-		g.state.book.Advise(*v.Budgets)
-		g.state.mu.Unlock()
+	if len(v.VMs) > 0 && !g.state.knowsMembers() {
+		g.join(v.VMs, "VM "+from)
 	}
 }
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -107,7 +107,9 @@
 			g.log.V(1).Info("budget configured", "account", a.Name, "prepaid", *a.Prepaid, "version", d.Version)
 		}
 	}
-	g.wake()
+	for _, r := range g.state.groups {
+		r.wake()
+	}
 }
 
 // registryFollower keeps the endpoints up to date.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -30,9 +30,9 @@
 	Metrics      string   // IP:port for metrics; empty for none
 	Retries      retrybudget.Bound
 	BudgetReport time.Duration // time between writes of what a VM holds
+	BudgetGroups int           // groups of client accounts; the same at all VMs and for good
 	StoreWrites  float64       // transactions a second that one part of the store takes
 	Grace        time.Duration // from SIGTERM until the process is killed
-	AddressReuse time.Duration // shortest time until another endpoint gets an address
 }
 
 // Gateway is one VM's request path.
@@ -44,14 +44,12 @@
 	state    *state
 	log      logr.Logger
 	metrics  *metrics.Registry
-	kick     chan struct{} // a request waits for budget
 	stopping atomic.Bool
-	// storeLost says that the last transaction failed.
-	storeLost atomic.Bool
 	// configurationLost says that the last call for the configuration failed.
 	configurationLost atomic.Bool
 	authority         atomic.Pointer[certificate.Pair] // of the fleet; nil until known
 	borrower          *borrower
+	repaid            sequences
 	reloaded          atomic.Pointer[Reloadable]
 	buffered          atomic.Int64 // bytes of request bodies in memory
 	server            *server
@@ -68,7 +66,7 @@
 func New(s Settings, st Store, d Dialect, p *http1.Pool, m *metrics.Registry, options ...Option) *Gateway {
 	g := &Gateway{
 		settings: s, store: st, dialect: d, pool: p, state: newState(s),
-		log: logr.Discard(), metrics: m, kick: make(chan struct{}, 1), started: time.Now(),
+		log: logr.Discard(), metrics: m, started: time.Now(),
 	}
 	g.reloaded.Store(&Reloadable{Grace: s.Grace, Seeds: s.Seeds, StoreWrites: s.StoreWrites})
 	for _, o := range options {
@@ -94,8 +92,14 @@
 	go configuration.loop(work)
 	registry := &registryFollower{gateway: g}
 	go registry.loop(work)
-	budget := &budgetKeeper{gateway: g}
-	go budget.loop(work)
+	members := &memberFollower{gateway: g}
+	go members.loop(work)
+	for _, r := range g.state.groups {
+		budget := &budgetKeeper{gateway: g, group: r}
+		go budget.loop(work)
+	}
+	repayer := &repayer{gateway: g}
+	go repayer.loop(work)
 	peers := &peerOpener{gateway: g}
 	go peers.run(work)
 	viewer := &viewer{gateway: g, client: &http.Client{}}
@@ -103,7 +107,7 @@
 	upkeep := &upkeep{gateway: g}
 	go upkeep.loop(work)
 	<-ctx.Done()
-	g.stop(budget)
+	g.stop(repayer)
 	return nil
 }
 
--- a/io/gateway/reserve.go
+++ b/io/gateway/reserve.go
@@ -63,22 +63,26 @@
 			next = until
 		}
 		x.gateway.state.wait(x.account.Name, tokens, &waits, true)
-		x.gateway.wake()
+		x.gateway.state.group(x.account.Name).wake()
 		if !x.await(changed, next) {
 			return &clientLeft
 		}
 	}
 }
 
-// allowed returns when the VM's own bound on spending lets the request pass, if
-// that is early enough to be worth the wait.
+// allowed returns when the VM's own bound on spending, or that of a home, lets
+// the request pass, if that is early enough to be worth the wait.
 func (x *exchange) allowed(tokens int64, now time.Time) (time.Time, bool) {
 	s := x.gateway.state
+	latest := x.arrived.Add(x.allowanceWait())
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	wait, held := s.book.AllowedIn(x.account.Name, tokens, now)
-	at := now.Add(wait + time.Millisecond)
-	return at, held && at.Before(x.arrived.Add(x.allowanceWait()))
+	wait, held := s.group(x.account.Name).book.AllowedIn(x.account.Name, tokens, now)
+	s.mu.Unlock()
+	if at := now.Add(wait + time.Millisecond); held && at.Before(latest) {
+		return at, true
+	}
+	short, ok := x.gateway.borrower.short(x.account.Name, tokens)
+	return short.until, ok && short.later && short.until.Before(latest)
 }
 
 // await returns at a change or at a time; false when the client has left.
@@ -98,37 +102,34 @@
 // worth it.
 func (g *Gateway) tryReserve(account string, tokens int64) (r *escrow.Reservation, changed <-chan struct{}, refused *refusal) {
 	s := g.state
+	w := s.group(account)
 	s.mu.Lock()
-	reservation, ok := s.book.Reserve(account, tokens, time.Now())
-	changed = s.granted
-	exhausted := s.book.Exhausted(account, tokens)
-	undrawn := s.book.Undrawn(account, tokens) && !g.storeLost.Load()
+	reservation, ok := w.book.Reserve(account, tokens, time.Now())
+	changed = w.granted
+	exhausted := w.book.Exhausted(account, tokens)
+	undrawn := w.keeps() && w.book.Undrawn(account, tokens) && !w.storeLost.Load()
+	need, _ := w.book.Lack(account, tokens, time.Now())
 	s.mu.Unlock()
+	short, isShort := g.borrower.short(account, need)
 	switch {
 	case ok:
 		return reservation, nil, nil
-	case exhausted:
+	case exhausted, isShort && short.exhausted:
 		return nil, changed, &budgetExhausted
-	case !undrawn && g.borrower.isExhausted(account):
+	case isShort && !undrawn:
 		return nil, changed, &budgetShort
 	}
-	g.borrower.ask(account, tokens)
+	g.borrower.ask(w, account, tokens)
 	return nil, changed, nil
 }
 
-// wake makes the budget keeper look at once.
-func (g *Gateway) wake() {
-	select {
-	case g.kick <- struct{}{}:
-	default:
-	}
-}
-
 // logShort logs what a refusal for lack of budget was decided on.
 func (g *Gateway) logShort(id, account string, tokens int64) {
+	w := g.state.group(account)
 	g.state.mu.Lock()
-	b := g.state.book.Balance(account, time.Now())
+	b := w.book.Balance(account, time.Now())
+	keeps := w.keeps()
 	g.state.mu.Unlock()
 	g.log.Info("budget short", "id", id, "account", account, "tokens", tokens, "granted", b.Granted, "committed", b.Committed,
-		"free", b.Free, "left", b.Left, "others", b.Others)
+		"free", b.Free, "left", b.Left, "others", b.Others, "home", keeps)
 }
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -7,6 +7,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/home"
 	"hawthornspar/core/retrybudget"
 	"hawthornspar/core/route"
 )
@@ -20,10 +21,11 @@
 	registry  bool // the registry has been read
 	// registryVersion is the store's version that the registry is known as of.
 	registryVersion int64
-	book            *escrow.Book
-	granted         chan struct{} // closed when the book has changed
+	groups          []*group
 	retries         *retrybudget.Budget
-	vms             int // VMs that share limits
+	members         []home.VM // that run, as last read; nil when none are known
+	joined          bool      // it is known who holds the budgets
+	vms             int       // VMs that share limits
 	random          endpoints.Random
 }
 
@@ -34,8 +36,7 @@
 func newState(s Settings) *state {
 	return &state{
 		domain: s.Domain, endpoints: endpoints.NewTable(),
-		book:    escrow.New(s.Name, s.Incarnation, s.Peer, escrow.Policy{Report: s.BudgetReport}),
-		granted: make(chan struct{}),
+		groups:  newGroups(s),
 		retries: retrybudget.New(s.Retries),
 		vms:     defaultVMs, random: globalRandom{},
 	}
@@ -61,10 +62,10 @@
 	s.table = route.NewTable(d)
 	for _, a := range d.Accounts {
 		if a.Prepaid == nil {
-			s.book.Configure(a.Name, 0, false)
+			s.group(a.Name).book.Configure(a.Name, 0, false)
 			continue
 		}
-		s.book.Configure(a.Name, *a.Prepaid, true)
+		s.group(a.Name).book.Configure(a.Name, *a.Prepaid, true)
 	}
 	return true
 }
@@ -131,21 +132,16 @@
 	*waits = begins
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	book := s.group(account).book
 	if begins {
-		s.book.Wait(account, tokens)
+		book.Wait(account, tokens)
 		return
 	}
-	s.book.Leave(account, tokens)
+	book.Leave(account, tokens)
 }
 
-func (s *state) settle(r *escrow.Reservation, used int64) {
+func (s *state) settle(account string, r *escrow.Reservation, used int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Settle(r, used)
-}
-
-// bookChanged wakes those that wait for budget. The caller holds the lock.
-func (s *state) bookChanged() {
-	close(s.granted)
-	s.granted = make(chan struct{})
+	s.group(account).book.Settle(r, used)
 }
--- a/io/peer/channel.go
+++ b/io/peer/channel.go
@@ -24,12 +24,20 @@
 	redialWait    = 300 * time.Millisecond
 	idleTimeout   = 3 * time.Second
 	writeTimeout  = 2 * time.Second
+	// forwardIdle keeps connections for forwarded requests over short lulls.
+	forwardIdle = 30 * time.Second
 )
 
 func quicConfig() *quic.Config {
 	return &quic.Config{HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: idleTimeout}
 }
 
+// forwardConfig is for connections that may rest: both ends' idle timeouts
+// count, the shorter one wins.
+func forwardConfig() *quic.Config {
+	return &quic.Config{HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: forwardIdle}
+}
+
 // channel sends messages to one address, on a connection that it opens at need.
 type channel struct {
 	node    *Node
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -41,6 +41,7 @@
 	client    *http3.Transport
 	mu        sync.Mutex
 	channels  map[string]*channel
+	forward   map[string]*quic.Conn // connections for forwarded requests, by address
 	ctx       context.Context
 	cancel    context.CancelFunc
 	sent      atomic.Int64
@@ -57,11 +58,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer socket")
 	}
-	n := &Node{self: self, post: post, log: log, channels: map[string]*channel{}}
+	n := &Node{self: self, post: post, log: log, channels: map[string]*channel{}, forward: map[string]*quic.Conn{}}
 	n.transport = &quic.Transport{Conn: socket}
 	serverTLS := mutual.Clone()
 	serverTLS.NextProtos = []string{messageProtocol, http3.NextProtoH3}
-	n.listener, err = n.transport.Listen(serverTLS, quicConfig())
+	n.listener, err = n.transport.Listen(serverTLS, forwardConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "peer listener")
 	}
@@ -69,7 +70,7 @@
 	n.dialTLS.NextProtos = []string{messageProtocol}
 	webTLS := mutual.Clone()
 	n.web = &http3.Server{Handler: handler}
-	n.client = &http3.Transport{TLSClientConfig: webTLS, QUICConfig: quicConfig(), Dial: n.dialWeb}
+	n.client = &http3.Transport{TLSClientConfig: webTLS, QUICConfig: forwardConfig(), Dial: n.dialWeb}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	go n.run()
 	return n, nil
@@ -81,7 +82,29 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
 	}
-	return n.transport.Dial(ctx, to, t, q)
+	conn, err := n.transport.Dial(ctx, to, t, q)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer")
+	}
+	n.mu.Lock()
+	n.forward[address] = conn
+	n.mu.Unlock()
+	return conn, nil
+}
+
+// Drop closes the connection for forwarded requests to an address, which may
+// have been silent since its VM was replaced. The next request opens another.
+func (n *Node) Drop(address string) {
+	n.mu.Lock()
+	conn := n.forward[address]
+	delete(n.forward, address)
+	n.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	if err := conn.CloseWithError(0, "no answer"); err != nil {
+		n.log.V(1).Info("peer connection not closed", "address", address, "error", err.Error())
+	}
 }
 
 // Close ends all channels.
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -29,7 +29,7 @@
 	Grace        time.Duration `validate:"min=1s,max=10m" flag:"HAWTHORNSPAR_GRACE" reload:"yes"`
 	Report       time.Duration `validate:"min=100ms,max=1m" flag:"HAWTHORNSPAR_BUDGET_REPORT"`
 	StoreWrites  float64       `validate:"min=1,max=1000000" flag:"HAWTHORNSPAR_STORE_WRITES" reload:"yes"`
-	AddressReuse time.Duration `validate:"min=0,max=10m" flag:"HAWTHORNSPAR_ADDRESS_REUSE"`
+	BudgetGroups int           `validate:"min=0,max=4096" flag:"HAWTHORNSPAR_BUDGET_GROUPS"`
 	MemoryMB     int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
 	Verbosity    int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
 }
