--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
@@ -26,6 +27,10 @@
 	collectPercent = 50
 )
 
+// flushMost bounds how long the end of the process waits for a slow reader of
+// its log.
+const flushMost = 200 * time.Millisecond
+
 func gatewayCommand() *cli.Command {
 	file := &cli.StringFlag{
 		Name: "settings", Usage: "file of NAME=value lines",
@@ -63,7 +68,9 @@
 	}
 	dialer := http1.NewDialer()
 	store := platform.NewClient(s.Store, s.Name, dialer)
-	log := daemon.NewLog(logline.NewWriter(os.Stdout), s.Verbosity).WithValues("vm", s.Name)
+	lines := logline.NewWriter(os.Stdout)
+	defer lines.Flush(flushMost)
+	log := daemon.NewLog(lines, s.Verbosity).WithValues("vm", s.Name)
 	g := gateway.New(gatewaySettings(s), store, platform.Headers{}, http1.NewPool(dialer), counts, gateway.WithLog(log))
 	watcher.Log = log
 	watcher.Apply = func(next settings.Gateway) { g.Reload(gatewaySettings(next)) }
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -240,6 +240,9 @@
 	}
 	name := w.account()
 	r := v.book.Repay(name, v.now)
+	if w.random.IntN(4) == 0 {
+		r = v.book.HandOver(name, v.now)
+	}
 	if w.random.IntN(5) > 0 { // else it is lost
 		o.book.Repaid(name, r)
 	}
--- a/core/escrow/supply.go
+++ b/core/escrow/supply.go
@@ -74,7 +74,7 @@
 func (b *Book) Accounts() []string {
 	var names []string
 	for name, a := range b.accounts {
-		if a.granted > 0 {
+		if a.granted > 0 || a.spent != 0 {
 			names = append(names, name)
 		}
 	}
@@ -97,3 +97,18 @@
 	a.granted += r.Spent + r.Returned
 	a.spent += r.Spent
 }
+
+// HandOver takes out of a stopping VM's book what it may still spend of an
+// account, for another VM to hold while the store is out of reach.
+func (b *Book) HandOver(name string, now time.Time) Repayment {
+	a := b.accounts[name]
+	if a == nil || !a.limited {
+		return Repayment{}
+	}
+	given := max(a.free(now), 0)
+	a.lent += given
+	return Repayment{Returned: given}
+}
+
+// TakeBack undoes a HandOver that no VM has accepted.
+func (b *Book) TakeBack(name string, r Repayment) { b.account(name).lent -= r.Returned }
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -161,13 +161,15 @@
 	}
 }
 
-// close returns what is free, until the context ends.
+// close returns what is free, as long as the store takes it.
 func (k *budgetKeeper) close(ctx context.Context) {
 	s := k.gateway.state
 	s.mu.Lock()
 	k.group.book.Close()
 	s.mu.Unlock()
-	for ctx.Err() == nil {
+	// A return that was sent and not answered may be carried out later; so none
+	// is begun while the store is lost, and the tokens can go to another VM.
+	for ctx.Err() == nil && !k.group.storeLost.Load() {
 		s.mu.Lock()
 		due := k.group.book.Due(time.Now())
 		s.mu.Unlock()
@@ -175,8 +177,9 @@
 			return
 		}
 		if err := k.write(ctx); err != nil {
+			k.group.storeLost.Store(true)
 			k.gateway.log.Info("budget not returned", "group", k.group.number, "error", err.Error())
-			sleep(ctx, failPause)
+			return
 		}
 	}
 }
--- a/io/gateway/repay.go
+++ b/io/gateway/repay.go
@@ -40,7 +40,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if m.To != g.settings.Incarnation || !g.repaid.take(m.From, m.Sequence) {
+	if m.To != g.settings.Incarnation || g.stopping.Load() || !g.repaid.take(m.From, m.Sequence) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -106,51 +106,81 @@
 	if len(answering) == 0 {
 		return
 	}
-	to := answering[0]
-	m := repayment{To: to.Incarnation, From: p.gateway.settings.Incarnation, Accounts: s.takeRepayments(r)}
-	if len(m.Accounts) == 0 {
+	taken := s.takeEach(r, r.book.Repay)
+	if len(taken) > 0 && !p.send(answering[0], taken) {
+		s.putEach(r, taken, r.book.Keep)
+	}
+}
+
+// handOverAll gives to other VMs what the store could not take back from this
+// one, which stops.
+func (p *repayer) handOverAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.gateway.state.groups {
+		if r.storeLost.Load() {
+			p.handOver(r)
+		}
+	}
+}
+
+// handOver gives a group's free tokens to the first home that takes them.
+func (p *repayer) handOver(r *group) {
+	s := p.gateway.state
+	s.mu.Lock()
+	homes := r.homes
+	s.mu.Unlock()
+	taken := s.takeEach(r, r.book.HandOver)
+	if len(taken) == 0 {
 		return
 	}
-	p.sequence++
-	m.Sequence = p.sequence
-	p.send(r, to, m)
+	for _, to := range p.gateway.borrower.answering(homes) {
+		if p.send(to, taken) {
+			p.gateway.log.Info("budget handed over", "group", r.number, "to", to.Name, "accounts", taken)
+			return
+		}
+	}
+	s.putEach(r, taken, r.book.TakeBack)
 }
 
-// send sends a repayment. When the home says that it did not take it, the
-// tokens stay here; when it does not answer, they are lost.
-func (p *repayer) send(r *group, to home.VM, m repayment) {
+// send gives tokens to a home. It returns false when the home says that it
+// did not take them; when it does not answer, they are lost.
+func (p *repayer) send(to home.VM, accounts map[string]escrow.Repayment) bool {
+	p.sequence++
+	m := repayment{To: to.Incarnation, From: p.gateway.settings.Incarnation, Sequence: p.sequence, Accounts: accounts}
 	err := p.gateway.borrower.post(to, repayPath, m, &struct{}{})
 	if err == nil {
-		return
+		return true
 	}
 	var refused *ViewError
 	if errors.As(err, &refused) {
-		p.gateway.state.untakeRepayments(r, m.Accounts)
 		p.gateway.log.Info("repayment refused", "home", to.Name, "error", err.Error())
-		return
+		return false
 	}
 	p.gateway.borrower.markFailed(to, err)
-	p.gateway.log.Info("repayment lost", "home", to.Name, "accounts", m.Accounts)
+	p.gateway.metrics.Count("repayments_lost", "noAnswer")
+	p.gateway.log.Info("repayment lost", "home", to.Name, "accounts", accounts)
+	return true
 }
 
-// takeRepayments takes out of a group's book what is to be given back.
-func (s *state) takeRepayments(r *group) map[string]escrow.Repayment {
+// takeEach takes out of a group's book what is to be given away.
+func (s *state) takeEach(r *group, take func(account string, now time.Time) escrow.Repayment) map[string]escrow.Repayment {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	taken := map[string]escrow.Repayment{}
 	for _, account := range r.book.Accounts() {
-		if p := r.book.Repay(account, time.Now()); p != (escrow.Repayment{}) {
+		if p := take(account, time.Now()); p != (escrow.Repayment{}) {
 			taken[account] = p
 		}
 	}
 	return taken
 }
 
-// untakeRepayments puts back what no home took.
-func (s *state) untakeRepayments(r *group, taken map[string]escrow.Repayment) {
+// putEach puts back what no home took.
+func (s *state) putEach(r *group, taken map[string]escrow.Repayment, put func(account string, p escrow.Repayment)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for account, p := range taken {
-		r.book.Keep(account, p)
+		put(account, p)
 	}
 }
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -30,7 +30,7 @@
 }
 
 // returnBudgets gives back what is free: to the store what this VM drew, to
-// other VMs what it borrowed.
+// other VMs what it borrowed, and what the store cannot take now.
 func (g *Gateway) returnBudgets(p *repayer, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -42,6 +42,7 @@
 	}
 	closing.Wait()
 	p.repayAll()
+	p.handOverAll()
 }
 
 // budgetCloser returns the budgets of one group.
--- a/io/logline/writer.go
+++ b/io/logline/writer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // queueLines bounds the lines that wait to be written, a few megabytes at most.
@@ -18,12 +19,13 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	flushes chan chan struct{}
 	dropped atomic.Int64
 }
 
 // NewWriter returns a writer whose goroutine lives as long as the process.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queueLines)}
+	w := &Writer{out: out, lines: make(chan []byte, queueLines), flushes: make(chan chan struct{})}
 	go w.loop()
 	return w
 }
@@ -43,7 +45,12 @@
 
 func (w *Writer) loop() {
 	told := int64(0)
-	for line := range w.lines {
+	for {
+		line, flushed := w.next()
+		if flushed != nil {
+			close(flushed)
+			continue
+		}
 		batch := w.gather(line)
 		if dropped := w.Dropped(); dropped > told {
 			batch = fmt.Appendf(batch, "\"level\"=0 \"msg\"=\"log lines dropped\" \"count\"=%d\n", dropped-told)
@@ -54,6 +61,36 @@
 	}
 }
 
+// next returns the next line, or a flush to confirm when no line waits.
+func (w *Writer) next() ([]byte, chan struct{}) {
+	select {
+	case line := <-w.lines:
+		return line, nil
+	default:
+	}
+	select {
+	case line := <-w.lines:
+		return line, nil
+	case f := <-w.flushes:
+		return nil, f
+	}
+}
+
+// Flush waits until all queued lines are written, for at most limit. It returns
+// false when they were not.
+func (w *Writer) Flush(limit time.Duration) bool {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	flushed := make(chan struct{})
+	select {
+	case w.flushes <- flushed:
+	case <-t.C:
+		return false
+	}
+	<-flushed
+	return true
+}
+
 // gather joins the lines that wait already.
 func (w *Writer) gather(batch []byte) []byte {
 	for len(batch) < batchBytes {
