A VM whose link is busy leaves the balancer's rotation; connections to endpoints are shared by traffic

Its link fills with prompts (1.0 to 1.5 MB/s of 1.25), opening packets wait over 400 ms, and orders end as unreachable. Its equal share of the connections to an endpoint, 6 of 560, ran out besides. Ruled out: its processor (0.08 of 0.19 cores, timers on time), the endpoints (other VMs reached them).

Change: core/load measures the bytes through the link; a VM above 45% of its link's capacity is not ready for at least 4 s, and after 2.5 s closes kept connections after their answers. Half of the connections to an endpoint are shared by the rates that VMs register. Large links never get busy.

--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -27,6 +27,9 @@
 	collectPercent = 50
 )
 
+// bytesPerMbit are the bytes of a megabit.
+const bytesPerMbit = 1_000_000 / 8
+
 // flushMost bounds how long the end of the process waits for a slow reader of
 // its log.
 const flushMost = 200 * time.Millisecond
@@ -84,6 +87,6 @@
 		Listen: s.Listen, Ready: s.Ready, Peer: s.Peer, Control: s.Control, Seeds: s.Seeds, Metrics: s.Metrics,
 		Retries:      retrybudget.Bound{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		BudgetReport: s.Report, BudgetGroups: s.BudgetGroups, StoreWrites: s.StoreWrites,
-		Grace: s.Grace,
+		Grace: s.Grace, LinkBytes: s.LinkMbps * bytesPerMbit,
 	}
 }
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -25,10 +25,11 @@
 
 // VM is a VM as it registered itself.
 type VM struct {
-	Name        string `json:"name"`
-	Incarnation string `json:"incarnation"`
-	Address     string `json:"address"` // IP:port for other VMs
-	StoreMs     int64  `json:"storeMs"` // the store's clock at the registration, or earlier
+	Name        string  `json:"name"`
+	Incarnation string  `json:"incarnation"`
+	Address     string  `json:"address"` // IP:port for other VMs
+	StoreMs     int64   `json:"storeMs"` // the store's clock at the registration, or earlier
+	Rate        float64 `json:"rate"`    // requests of clients a second
 }
 
 // Living returns the VMs that registered lately. Ages are counted from the
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -82,3 +82,32 @@
 		}
 	})
 })
+
+var _ = Describe("Share", func() {
+	for _, t := range []struct {
+		name        string
+		limit, vms  int
+		rate, rates float64
+		share       int
+	}{
+		{"nobody has registered a rate", 560, 8, 30, 0, 70},
+		{"equal traffic", 560, 8, 30, 210, 70},
+		{"one VM of many gets a third of all traffic", 560, 83, 300, 600, 96},
+		{"a VM without traffic", 560, 8, 0, 240, 35},
+		{"more VMs than connections", 50, 390, 1, 389, 1},
+	} {
+		It(t.name, func() { Expect(Share(t.limit, t.vms, t.rate, t.rates)).To(Equal(t.share)) })
+	}
+
+	It("keeps the sum of all shares within the limit", func() {
+		rates := []float64{300, 40, 5, 0, 120, 1, 1, 77}
+		total, sum := 0.0, 0
+		for _, r := range rates {
+			total += r
+		}
+		for _, r := range rates {
+			sum += Share(560, len(rates), r, total-r)
+		}
+		Expect(sum).To(BeNumerically("<=", 560))
+	})
+})
--- /dev/null
+++ b/core/load/load_test.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "load")
+}
+
+// phase is a time of even traffic.
+type phase struct {
+	bytesPerSecond int64
+	lasts          time.Duration
+}
+
+var _ = Describe("Meter", func() {
+	for _, t := range []struct {
+		name     string
+		capacity float64
+		phases   []phase
+		busy     bool
+		closes   bool
+	}{
+		{"one VM of many gets half of a failure domain's clients", 1_250_000, []phase{{900_000, 5 * time.Second}}, true, true},
+		{"kept connections stay until the balancer has heard of it", 1_250_000, []phase{{900_000, 2 * time.Second}}, true, false},
+		{"the crowd has just gone", 1_250_000, []phase{{900_000, 3 * time.Second}, {100_000, 500 * time.Millisecond}}, true, true},
+		{"a burst of a quarter of a second", 1_250_000, []phase{{100_000, 5 * time.Second}, {1_000_000, 250 * time.Millisecond}}, false, false},
+		{"a lull right after the crowd", 1_250_000, []phase{{900_000, 3 * time.Second}, {0, time.Second}}, true, true},
+		{"the crowd has gone", 1_250_000, []phase{{900_000, 3 * time.Second}, {100_000, 6 * time.Second}}, false, false},
+		{"a large VM under the same traffic", 25_000_000, []phase{{900_000, 5 * time.Second}}, false, false},
+		{"a link without a known capacity", 0, []phase{{900_000, 5 * time.Second}}, false, false},
+	} {
+		It(t.name, func() {
+			m := Meter{Capacity: t.capacity}
+			now := time.Unix(1_000, 0)
+			m.Observe(0, now)
+			const step = 250 * time.Millisecond
+			for _, p := range t.phases {
+				for range p.lasts / step {
+					now = now.Add(step)
+					m.Observe(int64(float64(p.bytesPerSecond)*step.Seconds()), now)
+				}
+			}
+			Expect(m.Busy()).To(Equal(t.busy))
+			Expect(m.Closes(now)).To(Equal(t.closes))
+		})
+	}
+})
--- a/io/gateway/answer.go
+++ b/io/gateway/answer.go
@@ -15,6 +15,7 @@
 	if ctx.Err() != nil {
 		return endpoints.Unreached, done, x.late()
 	}
+	x.gateway.log.V(1).Info("not sent", "id", x.info.ID, "service", x.service, "error", err.Error(), "unreachable", x.unreachable)
 	var limit *http1.LimitError
 	if errors.As(err, &limit) {
 		return endpoints.Unreached, again, unreachable
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"hawthornspar/core/load"
 	"hawthornspar/core/retrybudget"
 	"hawthornspar/io/certificate"
 	"hawthornspar/io/http1"
@@ -33,6 +34,7 @@
 	BudgetGroups int           // groups of client accounts; the same at all VMs and for good
 	StoreWrites  float64       // transactions a second that one part of the store takes
 	Grace        time.Duration // from SIGTERM until the process is killed
+	LinkBytes    float64       // bytes a second that the VM's link carries each way; 0 for no limit
 }
 
 // Gateway is one VM's request path.
@@ -52,6 +54,10 @@
 	repaid            sequences
 	reloaded          atomic.Pointer[Reloadable]
 	buffered          atomic.Int64 // bytes of request bodies in memory
+	passed            atomic.Int64 // bytes of requests and answers since the last look
+	requests          atomic.Int64 // of clients, since the last look
+	crowded           atomic.Bool  // the link is near its capacity
+	sheds             atomic.Bool  // kept connections are closed for that
 	server            *server
 	started           time.Time // of this process, or a little later
 }
@@ -106,6 +112,8 @@
 	go viewer.loop(work)
 	upkeep := &upkeep{gateway: g}
 	go upkeep.loop(work)
+	traffic := &loadWatch{gateway: g, meter: load.Meter{Capacity: g.settings.LinkBytes}}
+	go traffic.loop(work)
 	<-ctx.Done()
 	g.stop(repayer)
 	return nil
--- /dev/null
+++ b/io/gateway/load.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hawthornspar/core/load"
+)
+
+const (
+	// loadPeriod is the time between looks at the bytes that have passed, a
+	// fraction of the time in which a burst fades from the measured rate.
+	loadPeriod = 250 * time.Millisecond
+	// headBytes is counted for the head of a request and of its answer, with
+	// the packets' own headers.
+	headBytes = 1500
+)
+
+// loadWatch measures the VM's traffic, and makes the VM unready while its link
+// is near its capacity.
+type loadWatch struct {
+	gateway  *Gateway
+	meter    load.Meter
+	requests load.Rate
+}
+
+func (l *loadWatch) loop(ctx context.Context) {
+	for sleep(ctx, loadPeriod) {
+		now := time.Now()
+		rate := l.requests.Observe(l.gateway.requests.Swap(0), now)
+		l.gateway.state.setRate(rate)
+		if l.meter.Observe(l.gateway.passed.Swap(0), now) {
+			l.gateway.metrics.Count("link", linkState(l.meter.Busy()))
+			l.gateway.log.Info("link", "busy", l.meter.Busy(), "bytesPerSecond", int64(l.meter.Rate()), "capacity", int64(l.meter.Capacity))
+		}
+		l.gateway.crowded.Store(l.meter.Busy())
+		l.gateway.sheds.Store(l.meter.Closes(now))
+	}
+}
+
+func (s *state) setRate(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate = rate
+}
+
+func linkState(busy bool) string {
+	if busy {
+		return "busy"
+	}
+	return "calm"
+}
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -72,7 +72,10 @@
 func (f *memberFollower) register(ctx context.Context) error {
 	s := f.gateway.settings
 	begun := time.Now()
-	own := home.VM{Name: s.Name, Incarnation: s.Incarnation, Address: s.Peer, StoreMs: f.storeMs + time.Since(f.readAt).Milliseconds()}
+	own := home.VM{
+		Name: s.Name, Incarnation: s.Incarnation, Address: s.Peer,
+		StoreMs: f.storeMs + time.Since(f.readAt).Milliseconds(), Rate: f.gateway.state.ownRate(),
+	}
 	if err := f.gateway.store.Register(ctx, own); err != nil {
 		return err
 	}
@@ -101,6 +104,7 @@
 		g.log.Info("VMs counted", "vms", len(vms), "before", s.vms, "from", from)
 	}
 	s.members, s.vms = vms, len(vms)
+	s.otherRates = home.Rates(vms, g.settings.Name)
 	s.joined = s.joined || from != fromStore || contains(vms, g.settings.Name)
 	for _, r := range s.groups {
 		g.assign(r, home.Of(r.number, vms))
@@ -141,3 +145,10 @@
 	defer s.mu.Unlock()
 	return s.joined
 }
+
+// ownRate returns the requests of clients a second at this VM.
+func (s *state) ownRate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate
+}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -75,7 +75,8 @@
 	x.begin(response)
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
-	_, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, response.Body, *buffer)
+	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, response.Body, *buffer)
+	x.gateway.passed.Add(n)
 	return err
 }
 
@@ -120,6 +121,7 @@
 			events := held[:whole+len(eventEnd)]
 			x.begin(response)
 			x.countEvents(events)
+			x.gateway.passed.Add(int64(len(events)))
 			if _, e := x.writer.Write(events); e != nil {
 				return e
 			}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -23,7 +23,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now(), tried: map[string]bool{}}
 	x.info = g.dialect.ReadRequest(r.Header)
-	if g.stopping.Load() {
+	g.passed.Add(headBytes)
+	g.requests.Add(1)
+	if g.stopping.Load() || g.sheds.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if refused := x.admit(); refused != nil {
@@ -105,6 +107,7 @@
 		r.Body = http.MaxBytesReader(x.writer, r.Body, limit)
 	}
 	body, err := readAll(r.Body, r.ContentLength)
+	x.gateway.passed.Add(int64(len(body)))
 	x.gateway.buffered.Add(int64(len(body)))
 	x.body = body
 	if err != nil {
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -115,7 +115,7 @@
 // serveReady answers the balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	settled := g.state.settled() || time.Since(g.started) > settleMost
-	if g.stopping.Load() || g.state.routes() == nil || !settled {
+	if g.stopping.Load() || g.state.routes() == nil || !settled || g.crowded.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -26,6 +26,8 @@
 	members         []home.VM // that run, as last read; nil when none are known
 	joined          bool      // it is known who holds the budgets
 	vms             int       // VMs that share limits
+	rate            float64   // requests of clients a second at this VM
+	otherRates      float64   // and at the other VMs, as last read
 	random          endpoints.Random
 }
 
@@ -120,7 +122,7 @@
 	if d == nil || d.MaxConnections == 0 {
 		return 0
 	}
-	return max(d.MaxConnections/max(s.vms, 1), 1)
+	return home.Share(d.MaxConnections, s.vms, s.rate, s.otherRates)
 }
 
 // wait tells the book that a request begins or ceases to wait for tokens; waits
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -30,6 +30,7 @@
 	Report       time.Duration `validate:"min=100ms,max=1m" flag:"HAWTHORNSPAR_BUDGET_REPORT"`
 	StoreWrites  float64       `validate:"min=1,max=1000000" flag:"HAWTHORNSPAR_STORE_WRITES" reload:"yes"`
 	BudgetGroups int           `validate:"min=0,max=4096" flag:"HAWTHORNSPAR_BUDGET_GROUPS"`
+	LinkMbps     float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_LINK_MBPS"`
 	MemoryMB     int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
 	Verbosity    int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
 }
