A late answer of the store does not undo the transaction that was sent after it

Cause: at a stop two goroutines send a group's pending transaction. When the first send is carried out, the second one's condition fails; if the next transaction had been sent meanwhile, that answer undid it although it was carried out: returned tokens stood in the store and in the VM, which lends or hands them over.

Change: answers name their transaction, old ones are dropped; sends of a group come one after the other.

--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -307,10 +307,10 @@
 	out := w.store.apply(v.name, &sent)
 	v.book.Clock(out.StoreMs, v.now)
 	if out.Applied {
-		v.book.Applied(out.Version)
+		v.book.Applied(t, out.Version)
 		return
 	}
-	v.fenced = !v.book.Conflict(out.Current)
+	v.fenced = !v.book.Conflict(t, out.Current)
 }
 
 // overspent returns the first account whose requests used, or may use, more
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -81,11 +81,10 @@
 	return false
 }
 
-// Applied takes the news that the pending transaction was carried out, with
-// the version that its rows have now.
-func (b *Book) Applied(version int64) {
-	t := b.pending
-	if t == nil {
+// Applied takes the news that a transaction was carried out, with the version
+// that its rows have now. News of another than the pending one is old.
+func (b *Book) Applied(t *Transaction, version int64) {
+	if t == nil || t != b.pending {
 		return
 	}
 	b.pending = nil
@@ -113,19 +112,20 @@
 	}
 }
 
-// Conflict takes the news that the pending transaction's condition failed.
+// Conflict takes the news that a transaction's condition failed. News of another
+// than the pending one is old: undoing the pending one, which may be carried
+// out, would count its tokens twice.
 // When the VM's own row shows that an earlier send of the same transaction
 // was carried out, it counts as applied. Before the first own write a changed
 // row is the predecessor's last write, carried out late. It returns false when
 // another incarnation of this VM has taken over.
-func (b *Book) Conflict(c Snapshot) bool {
-	t := b.pending
-	if t == nil {
+func (b *Book) Conflict(t *Transaction, c Snapshot) bool {
+	if t == nil || t != b.pending {
 		return true
 	}
 	own := c.Holdings[b.vm]
 	if own.Holding.Incarnation == b.incarnation && own.Holding.Sequence == t.Holding.Sequence {
-		b.Applied(own.Version)
+		b.Applied(t, own.Version)
 		b.readAll(c)
 		return true
 	}
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -114,6 +114,8 @@
 
 // write sends the transaction that is due.
 func (k *budgetKeeper) write(ctx context.Context) error {
+	k.group.writing.Lock()
+	defer k.group.writing.Unlock()
 	now := time.Now()
 	t := k.plan(now)
 	if t == nil {
@@ -147,9 +149,9 @@
 	book.Clock(o.StoreMs, time.Now())
 	owned := true
 	if o.Applied {
-		book.Applied(o.Version)
+		book.Applied(t, o.Version)
 	} else {
-		owned = book.Conflict(o.Current)
+		owned = book.Conflict(t, o.Current)
 	}
 	if !owned {
 		k.gateway.log.Info("another incarnation has this VM's budgets")
--- a/io/gateway/group.go
+++ b/io/gateway/group.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"hawthornspar/core/escrow"
@@ -17,6 +18,9 @@
 	// homes are the other VMs that hold the group's budgets, in the order in
 	// which this VM asks them.
 	homes []home.VM
+	// writing is held while a transaction is under way: at the stop two
+	// goroutines send them.
+	writing sync.Mutex
 	// storeLost says that the last call for the group failed.
 	storeLost atomic.Bool
 }
