--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -25,6 +25,14 @@
 	conns  map[net.Conn]bool
 	flows  map[string]*net.UDPConn
 	bytes  int64
+	there  direction // to the target
+	back   direction // to the client
+}
+
+// direction is how a link treats what goes one way over TCP.
+type direction struct {
+	held  chan struct{} // bytes wait until it is closed; nil for open
+	delay time.Duration // added to each piece
 }
 
 // State is the link's state.
@@ -72,19 +80,20 @@
 		return
 	}
 	defer p.link.remove(server)
-	back := &half{p.link, server, p.client}
+	back := &half{p.link, server, p.client, &p.link.back}
 	go back.run()
-	(&half{p.link, p.client, server}).run()
+	(&half{p.link, p.client, server, &p.link.there}).run()
 }
 
 // half copies one direction and closes both ends when it ends.
 type half struct {
 	link     *Link
 	from, to net.Conn
+	way      *direction
 }
 
 func (h *half) run() {
-	io.Copy(counted{h.to, h.link}, h.from)
+	io.Copy(counted{h.to, h.link, h.way}, h.from)
 	h.to.Close()
 	h.from.Close()
 }
@@ -93,14 +102,59 @@
 type counted struct {
 	io.Writer
 	link *Link
+	way  *direction
 }
 
 func (c counted) Write(p []byte) (int, error) {
+	c.link.wait(c.way)
 	n, err := c.Writer.Write(p)
 	c.link.count(n)
 	return n, err
 }
 
+// wait delays a piece as its direction says.
+func (l *Link) wait(way *direction) {
+	l.mu.Lock()
+	held, delay := way.held, way.delay
+	l.mu.Unlock()
+	if delay > 0 {
+		pause := l.clock.Subscribe(delay)
+		<-pause.C
+		pause.Stop()
+	}
+	if held != nil {
+		<-held
+	}
+}
+
+// Hold silences TCP connections in either direction without closing them, or
+// lets what was held pass.
+func (l *Link) Hold(there, back bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.there.hold(there)
+	l.back.hold(back)
+}
+
+func (d *direction) hold(held bool) {
+	if held == (d.held != nil) {
+		return
+	}
+	if held {
+		d.held = make(chan struct{})
+		return
+	}
+	close(d.held)
+	d.held = nil
+}
+
+// Delay adds a time to each piece that passes over TCP, both ways.
+func (l *Link) Delay(by time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.there.delay, l.back.delay = by, by
+}
+
 func (l *Link) add(c net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
