A VM whose own link is jammed refuses at once

Change: a busy link and half of the connections timing out, four at least in a second, count as a jam; requests are then refused, not run, in place of growing the queue. core/load has the table.

--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -52,3 +52,30 @@
 		})
 	}
 })
+
+var _ = Describe("Jam", func() {
+	for _, t := range []struct {
+		name             string
+		timedOut, opened int
+		after            time.Duration
+		jammed           bool
+	}{
+		{"no connections", 0, 0, 0, false},
+		{"a few silent endpoints among many", 5, 40, 0, false},
+		{"one silent endpoint on a quiet VM", 2, 0, 0, false},
+		{"a crowd of prompts on a small link", 12, 3, 0, true},
+		{"a second later", 12, 3, 1100 * time.Millisecond, false},
+	} {
+		It(t.name, func() {
+			var j Jam
+			now := time.Unix(1_000, 0)
+			for range t.timedOut {
+				j.Opened(true, now)
+			}
+			for range t.opened {
+				j.Opened(false, now)
+			}
+			Expect(j.Jammed(now.Add(t.after))).To(Equal(t.jammed))
+		})
+	}
+})
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -137,6 +137,9 @@
 // send sends the request to one endpoint and relays its answer.
 func (x *exchange) send(ctx context.Context, s *endpoints.Send) (endpoints.Outcome, step, refusal) {
 	conn, err := x.gateway.pool.Get(ctx, s.Endpoint.Address, x.gateway.state.connections(x.service))
+	if err != nil || !conn.Reused() {
+		x.gateway.jam.opened(err)
+	}
 	if err != nil {
 		return x.unsent(ctx, err)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -56,8 +56,9 @@
 	buffered          atomic.Int64 // bytes of request bodies in memory
 	passed            atomic.Int64 // bytes of requests and answers since the last look
 	requests          atomic.Int64 // of clients, since the last look
-	crowded           atomic.Bool  // the link is near its capacity
-	sheds             atomic.Bool  // kept connections are closed for that
+	jam               jam
+	crowded           atomic.Bool // the link is near its capacity
+	sheds             atomic.Bool // kept connections are closed for that
 	server            *server
 	started           time.Time // of this process, or a little later
 }
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"sync"
 	"time"
 
 	"hawthornspar/core/load"
+	"hawthornspar/io/http1"
 )
 
 const (
@@ -50,3 +54,32 @@
 	}
 	return "calm"
 }
+
+// jam guards what connections to endpoints say of the VM's own link.
+type jam struct {
+	mu   sync.Mutex
+	load load.Jam
+}
+
+// opened takes the outcome of opening a connection.
+func (j *jam) opened(err error) {
+	var dial *http1.DialError
+	failed := errors.As(err, &dial)
+	if err != nil && !failed {
+		return // none was opened
+	}
+	var timeout net.Error
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.load.Opened(failed && errors.As(err, &timeout) && timeout.Timeout(), time.Now())
+}
+
+func (j *jam) jammed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.load.Jammed(time.Now())
+}
+
+// overloaded tells whether a request would wait in the VM's own link until it
+// is late: better that its client tries another VM.
+func (g *Gateway) overloaded() bool { return g.crowded.Load() && g.jam.jammed() }
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -29,6 +29,7 @@
 	noEndpoint       = refusal{status: http.StatusServiceUnavailable, reason: "noEndpoint", retryAfter: 500 * time.Millisecond}
 	endpointsFull    = refusal{status: http.StatusServiceUnavailable, reason: "endpointsFull", retryAfter: 300 * time.Millisecond}
 	retriesSpent     = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", retryAfter: 300 * time.Millisecond}
+	linkFull         = refusal{status: http.StatusServiceUnavailable, reason: "linkFull", retryAfter: 300 * time.Millisecond, close: true}
 	lateUnsent       = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
 	lateSent         = refusal{status: http.StatusGatewayTimeout, reason: "late"}
 	outcomeUnknown   = refusal{status: http.StatusBadGateway, reason: "outcomeUnknown"}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -33,6 +33,10 @@
 		return
 	}
 	defer g.buffered.Add(-int64(len(x.body)))
+	if g.overloaded() {
+		x.refuse(linkFull)
+		return
+	}
 	if refused := x.reserve(); refused != nil {
 		x.refuse(*refused)
 		return
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -227,3 +227,6 @@
 func (c *Conn) CloseWith(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, c.Close)
 }
+
+// Reused tells whether the connection had served an earlier request.
+func (c *Conn) Reused() bool { return c.reused }
