--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 test: build
 	$(GO) test -count=1 ./...
+	./soak/run.sh 1 1 --vms 6 --faults 8s --count 8
 
 tools: $(BIN)/staticcheck $(BIN)/gofumpt $(BIN)/go-jsonschema
 
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -42,12 +42,21 @@
 	}
 }
 
+// ownRate returns the requests of clients a second at this VM.
+func (s *state) ownRate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate
+}
+
+// setRate keeps the measured requests of clients a second.
 func (s *state) setRate(rate float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rate = rate
 }
 
+// linkState names a state of the link in metrics.
 func linkState(busy bool) string {
 	if busy {
 		return "busy"
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hawthornspar/core/home"
@@ -63,7 +64,7 @@
 			return 0, err
 		}
 	}
-	if !known && !contains(vms, f.gateway.settings.Name) {
+	if !known && !includes(vms, f.gateway.settings.Name) {
 		return firstStart, nil
 	}
 	return max(membersLeast, jitter(time.Duration(len(vms))*membersPeriod)), nil
@@ -83,13 +84,9 @@
 	return nil
 }
 
-func contains(vms []home.VM, name string) bool {
-	for _, v := range vms {
-		if v.Name == name {
-			return true
-		}
-	}
-	return false
+// includes tells whether a VM of a name is in a list.
+func includes(vms []home.VM, name string) bool {
+	return slices.ContainsFunc(vms, func(v home.VM) bool { return v.Name == name })
 }
 
 // join takes the list of running VMs, which decides who holds which budgets.
@@ -105,7 +102,7 @@
 	}
 	s.members, s.vms = vms, len(vms)
 	s.otherRates = home.Rates(vms, g.settings.Name)
-	s.joined = s.joined || from != fromStore || contains(vms, g.settings.Name)
+	s.joined = s.joined || from != fromStore || includes(vms, g.settings.Name)
 	for _, r := range s.groups {
 		g.assign(r, home.Of(r.number, vms))
 	}
@@ -113,12 +110,7 @@
 
 // assign takes the homes of a group. The caller holds the lock.
 func (g *Gateway) assign(r *group, homes []home.VM) {
-	others := homes[:0:0]
-	for _, v := range homes {
-		if v.Name != g.settings.Name {
-			others = append(others, v)
-		}
-	}
+	others := slices.DeleteFunc(slices.Clone(homes), func(v home.VM) bool { return v.Name == g.settings.Name })
 	own := len(others) < len(homes)
 	if own != r.book.Home() {
 		g.log.Info("home of budgets", "group", r.number, "home", own, "homes", len(homes))
@@ -145,10 +137,3 @@
 	defer s.mu.Unlock()
 	return s.joined
 }
-
-// ownRate returns the requests of clients a second at this VM.
-func (s *state) ownRate() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rate
-}
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"hawthornspar/platform/standin"
 	"hawthornspar/standin/link"
 )
 
@@ -31,31 +32,13 @@
 	rewrites                     int
 }
 
-// freePort returns a free IP:port of loopback.
-func freePort(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		if err != nil {
-			return "", errors.Wrap(err, "port")
-		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func newVM(name, store string) (*vm, error) {
 	v := &vm{name: name}
 	for _, p := range []struct {
 		network string
 		address *string
 	}{{"tcp", &v.listen}, {"tcp", &v.ready}, {"tcp", &v.control}, {"udp", &v.peer}} {
-		address, err := freePort(p.network)
+		address, err := standin.FreePort(p.network)
 		if err != nil {
 			return nil, err
 		}
