Idle time of connections between VMs is an option; a silent one is dropped by views too; mends of the soak

Now 3 s is the default again and the gateway, which drops silent connections, asks for 30 s; views drop theirs as well.

--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -145,13 +145,21 @@
 func (b *borrower) markFailed(v home.VM, err error) {
 	b.mu.Lock()
 	b.failed[v.Name] = time.Now()
-	node := b.node
 	b.mu.Unlock()
-	node.Drop(v.Address)
+	b.drop(v.Address)
 	b.gateway.metrics.Count("lenders_lost", "noAnswer")
 	b.gateway.log.Info("lender lost", "lender", v.Name, "error", err.Error())
 }
 
+// drop closes the connection to a VM that did not answer: the VM may have been
+// replaced since it was opened.
+func (b *borrower) drop(address string) {
+	b.mu.Lock()
+	node := b.node
+	b.mu.Unlock()
+	node.Drop(address)
+}
+
 // answering returns the VMs of a list without those that did not answer lately.
 func (b *borrower) answering(vms []home.VM) []home.VM {
 	b.mu.Lock()
--- a/io/gateway/channel.go
+++ b/io/gateway/channel.go
@@ -17,6 +17,8 @@
 const (
 	// certificateLife is longer than any VM runs.
 	certificateLife = 365 * 24 * time.Hour
+	// homeIdle keeps connections to homes over the pauses of a VM's requests.
+	homeIdle = 30 * time.Second
 	// authorityKey names the fleet's certificate authority in the store.
 	authorityKey = "authority"
 )
@@ -55,7 +57,7 @@
 		return nil, err
 	}
 	self := entity.VM{Name: g.settings.Name, Incarnation: g.settings.Incarnation, Address: g.settings.Peer, Domain: g.settings.Domain}
-	return peer.Listen(self, g.settings.Peer, mutual, http.HandlerFunc(g.servePeer), func(inbox.Event) {}, g.log)
+	return peer.Listen(self, g.settings.Peer, mutual, http.HandlerFunc(g.servePeer), func(inbox.Event) {}, g.log, peer.WithIdle(homeIdle))
 }
 
 // authority returns the fleet's certificate authority: from the store, or from
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -143,6 +143,9 @@
 func (v *viewer) question(ctx context.Context) (view, string, error) {
 	if address, ok := v.gateway.borrower.anyPeer(); ok {
 		answer, err := v.exchange(ctx, "https://"+address, v.gateway.borrower.client())
+		if err != nil {
+			v.gateway.borrower.drop(address)
+		}
 		return answer, address, err
 	}
 	seeds := v.gateway.reloaded.Load().Seeds
--- a/io/peer/channel.go
+++ b/io/peer/channel.go
@@ -24,18 +24,12 @@
 	redialWait    = 300 * time.Millisecond
 	idleTimeout   = 3 * time.Second
 	writeTimeout  = 2 * time.Second
-	// forwardIdle keeps connections for forwarded requests over short lulls.
-	forwardIdle = 30 * time.Second
 )
 
-func quicConfig() *quic.Config {
-	return &quic.Config{HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: idleTimeout}
-}
-
-// forwardConfig is for connections that may rest: both ends' idle timeouts
-// count, the shorter one wins.
-func forwardConfig() *quic.Config {
-	return &quic.Config{HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: forwardIdle}
+// quicConfig returns the configuration of connections that may rest for idle.
+// Both ends' timeouts count, the shorter one wins.
+func quicConfig(idle time.Duration) *quic.Config {
+	return &quic.Config{HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: idle}
 }
 
 // channel sends messages to one address, on a connection that it opens at need.
@@ -154,7 +148,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	defer cancel()
-	c.conn, err = c.node.transport.Dial(ctx, address, c.node.dialTLS, quicConfig())
+	c.conn, err = c.node.transport.Dial(ctx, address, c.node.dialTLS, quicConfig(idleTimeout))
 	if err != nil {
 		return err
 	}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -42,14 +43,23 @@
 	mu        sync.Mutex
 	channels  map[string]*channel
 	forward   map[string]*quic.Conn // connections for forwarded requests, by address
+	idle      time.Duration
 	ctx       context.Context
 	cancel    context.CancelFunc
 	sent      atomic.Int64
 }
 
+// Option changes how a node is opened.
+type Option func(*Node)
+
+// WithIdle keeps resting connections for d. A caller that sets more than the
+// default has to Drop those to VMs that do not answer, which may have been
+// replaced.
+func WithIdle(d time.Duration) Option { return func(n *Node) { n.idle = d } }
+
 // Listen opens the node on self.Address. The handler serves requests that
 // other VMs forward.
-func Listen(self entity.VM, listen string, mutual *tls.Config, handler http.Handler, post Post, log logr.Logger) (*Node, error) {
+func Listen(self entity.VM, listen string, mutual *tls.Config, handler http.Handler, post Post, log logr.Logger, options ...Option) (*Node, error) {
 	address, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
@@ -58,11 +68,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer socket")
 	}
-	n := &Node{self: self, post: post, log: log, channels: map[string]*channel{}, forward: map[string]*quic.Conn{}}
+	n := &Node{self: self, post: post, log: log, channels: map[string]*channel{}, forward: map[string]*quic.Conn{}, idle: idleTimeout}
+	for _, o := range options {
+		o(n)
+	}
 	n.transport = &quic.Transport{Conn: socket}
 	serverTLS := mutual.Clone()
 	serverTLS.NextProtos = []string{messageProtocol, http3.NextProtoH3}
-	n.listener, err = n.transport.Listen(serverTLS, forwardConfig())
+	n.listener, err = n.transport.Listen(serverTLS, quicConfig(n.idle))
 	if err != nil {
 		return nil, errors.Wrap(err, "peer listener")
 	}
@@ -70,7 +83,7 @@
 	n.dialTLS.NextProtos = []string{messageProtocol}
 	webTLS := mutual.Clone()
 	n.web = &http3.Server{Handler: handler}
-	n.client = &http3.Transport{TLSClientConfig: webTLS, QUICConfig: forwardConfig(), Dial: n.dialWeb}
+	n.client = &http3.Transport{TLSClientConfig: webTLS, QUICConfig: quicConfig(n.idle), Dial: n.dialWeb}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	go n.run()
 	return n, nil
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -32,13 +33,22 @@
 	rewrites                     int
 }
 
+// loopback returns an address of loopback that belongs to this run.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid/blockSize%blockSize, 1+pid%blockSize)
+}
+
+// blockSize is the number of values that a part of such an address takes.
+const blockSize = 250
+
 func newVM(name, store string) (*vm, error) {
 	v := &vm{name: name}
 	for _, p := range []struct {
 		network string
 		address *string
 	}{{"tcp", &v.listen}, {"tcp", &v.ready}, {"tcp", &v.control}, {"udp", &v.peer}} {
-		address, err := standin.FreePort(p.network)
+		address, err := standin.FreePort(p.network, loopback())
 		if err != nil {
 			return nil, err
 		}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -93,11 +93,21 @@
 }
 
 func (h *half) run() {
-	io.Copy(counted{h.to, h.link, h.way}, h.from)
+	_, err := io.Copy(counted{h.to, h.link, h.way}, h.from)
+	if err != nil {
+		reset(h.to) // a reset is not an end
+	}
 	h.to.Close()
 	h.from.Close()
 }
 
+// reset makes the close of a connection a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+}
+
 // counted counts what is written.
 type counted struct {
 	io.Writer
