A watch whose answer is lost is given up in time for a leaving endpoint

What the code allows: a watch that falls silent was given up after 3.5 s, with the pauses 4.4 s. Ruled out: the link (the request reached the endpoint in 10 ms). It costs up to 0.8 calls a second and VM more while nothing changes.

--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -11,12 +11,14 @@
 
 // Pace of following the store.
 const (
-	// watchWait bounds one watch, so that one that fell silent is noticed well
-	// within the time in which a change must be in force.
-	watchWait = 2 * time.Second
+	// watchWait is how long the store may hold a watch back, and watchLimit when
+	// one without an answer is given up, with a slow store's answer in between:
+	// with the pauses, news that a call was lost for stays within two seconds.
+	watchWait  = 600 * time.Millisecond
+	watchLimit = 1200 * time.Millisecond
 	// registryPause follows each answer of the registry, as heartbeats change
 	// it all the time.
-	registryPause = 500 * time.Millisecond
+	registryPause = 400 * time.Millisecond
 	// failPause follows a failed call.
 	failPause = 250 * time.Millisecond
 	// lapseGrace is how long endpoints whose entries vanished around an outage
@@ -91,6 +93,8 @@
 		f.known = err == nil
 		return d, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, watchLimit)
+	defer cancel()
 	d, f.version, err = f.gateway.store.WatchConfiguration(ctx, f.version, watchWait)
 	return d, err
 }
@@ -144,6 +148,8 @@
 		f.gateway.replaceRegistry(change, version, f.goneAt())
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, watchLimit)
+	defer cancel()
 	change, version, err := f.gateway.store.WatchRegistry(ctx, f.version, watchWait)
 	if err != nil {
 		return err
