A refused body is read for a moment, so that the refusal arrives

Traced from the daemon's log (refused, bodyTooLarge) and net/http's rule; ruled out: load alone, the fault was always there. Change: up to 256 KB are read for at most 300 ms.

--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -15,6 +15,13 @@
 // bufferedMost bounds the request bodies in memory, well below a small VM's.
 const bufferedMost = 64 << 20
 
+// discardBytes and discardWait bound what is read of a refused body: some
+// windows of a connection, well within a client's patience.
+const (
+	discardBytes = 256 << 10
+	discardWait  = 300 * time.Millisecond
+)
+
 // timeoutDefault is used when neither the client nor the route sets a bound.
 const timeoutDefault = 60 * time.Second
 
@@ -98,6 +105,7 @@
 		return nil
 	}
 	if limit > 0 && r.ContentLength > limit {
+		x.discardBody()
 		return &bodyTooLarge
 	}
 	if x.gateway.buffered.Load()+max(r.ContentLength, 0) > bufferedMost {
@@ -125,6 +133,17 @@
 	return nil
 }
 
+// discardBody reads the beginning of a body that is refused: a close with unread
+// bytes is a reset, which may overtake the refusal.
+func (x *exchange) discardBody() {
+	if err := http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(discardWait)); err != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, x.request.Body, discardBytes); err != nil && err != io.EOF {
+		x.gateway.log.V(1).Info("refused body not read", "id", x.info.ID, "error", err.Error())
+	}
+}
+
 func readAll(r io.Reader, length int64) ([]byte, error) {
 	if length <= 0 {
 		return io.ReadAll(r)
