--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -65,11 +65,11 @@
 	b.node = n
 }
 
-// client returns a client that speaks to other VMs.
-func (b *borrower) client() *http.Client {
+// channel returns the channel to other VMs; nil while it is not open.
+func (b *borrower) channel() *peer.Node {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &http.Client{Transport: b.node}
+	return b.node
 }
 
 // anyPeer returns the address of some other VM; false when none is known or the
@@ -153,12 +153,7 @@
 
 // drop closes the connection to a VM that did not answer: the VM may have been
 // replaced since it was opened.
-func (b *borrower) drop(address string) {
-	b.mu.Lock()
-	node := b.node
-	b.mu.Unlock()
-	node.Drop(address)
-}
+func (b *borrower) drop(address string) { b.channel().Drop(address) }
 
 // answering returns the VMs of a list without those that did not answer lately.
 func (b *borrower) answering(vms []home.VM) []home.VM {
@@ -182,9 +177,7 @@
 
 // post sends a message to another VM and reads its answer.
 func (b *borrower) post(v home.VM, path string, message, answer any) error {
-	b.mu.Lock()
-	node := b.node
-	b.mu.Unlock()
+	node := b.channel()
 	if node == nil {
 		return errors.WithStack(&NoPeerError{})
 	}
@@ -204,7 +197,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return errors.WithStack(&ViewError{Status: response.StatusCode})
+		return errors.WithStack(&AnswerError{Status: response.StatusCode})
 	}
 	err = json.NewDecoder(io.LimitReader(response.Body, messageBytes)).Decode(answer)
 	return errors.Wrap(err, "VM's answer")
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -142,7 +142,7 @@
 
 func (v *viewer) question(ctx context.Context) (view, string, error) {
 	if address, ok := v.gateway.borrower.anyPeer(); ok {
-		answer, err := v.exchange(ctx, "https://"+address, v.gateway.borrower.client())
+		answer, err := v.exchange(ctx, "https://"+address, &http.Client{Transport: v.gateway.borrower.channel()})
 		if err != nil {
 			v.gateway.borrower.drop(address)
 		}
@@ -157,11 +157,12 @@
 	return answer, seed, err
 }
 
-// NoPeerError says that no other VM is known.
+// NoPeerError says that no other VM can be asked: none is known, or the channel
+// to them is not open.
 type NoPeerError struct{}
 
 // Error implements error.
-func (*NoPeerError) Error() string { return "no other VM is known" }
+func (*NoPeerError) Error() string { return "no other VM can be asked" }
 
 func (v *viewer) exchange(ctx context.Context, base string, c *http.Client) (view, error) {
 	request, err := sling.New().Base(base).Get(viewPath).QueryStruct(v.gateway.state.versions()).Request()
@@ -174,18 +175,18 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return view{}, errors.WithStack(&ViewError{Status: response.StatusCode})
+		return view{}, errors.WithStack(&AnswerError{Status: response.StatusCode})
 	}
 	var answer view
 	err = json.NewDecoder(io.LimitReader(response.Body, viewBytes)).Decode(&answer)
 	return answer, errors.Wrap(err, "VM's answer")
 }
 
-// ViewError says that a VM did not tell what it knows.
-type ViewError struct{ Status int }
+// AnswerError says that a VM refused a question or a message.
+type AnswerError struct{ Status int }
 
 // Error implements error.
-func (e *ViewError) Error() string { return "VM answered " + http.StatusText(e.Status) }
+func (e *AnswerError) Error() string { return "VM answered " + http.StatusText(e.Status) }
 
 // take uses what another VM knows, where it is newer.
 func (g *Gateway) take(v view, from string) {
--- a/io/gateway/repay.go
+++ b/io/gateway/repay.go
@@ -98,16 +98,13 @@
 
 // repay gives back to the first home of a group that answers.
 func (p *repayer) repay(r *group) {
-	s := p.gateway.state
-	s.mu.Lock()
-	homes := r.homes
-	s.mu.Unlock()
-	answering := p.gateway.borrower.answering(homes)
-	if len(answering) == 0 {
+	homes := p.homes(r)
+	if len(homes) == 0 {
 		return
 	}
+	s := p.gateway.state
 	taken := s.takeEach(r, r.book.Repay)
-	if len(taken) > 0 && !p.send(answering[0], taken) {
+	if len(taken) > 0 && !p.send(homes[0], taken) {
 		s.putEach(r, taken, r.book.Keep)
 	}
 }
@@ -127,14 +124,11 @@
 // handOver gives a group's free tokens to the first home that takes them.
 func (p *repayer) handOver(r *group) {
 	s := p.gateway.state
-	s.mu.Lock()
-	homes := r.homes
-	s.mu.Unlock()
 	taken := s.takeEach(r, r.book.HandOver)
 	if len(taken) == 0 {
 		return
 	}
-	for _, to := range p.gateway.borrower.answering(homes) {
+	for _, to := range p.homes(r) {
 		if p.send(to, taken) {
 			p.gateway.log.Info("budget handed over", "group", r.number, "to", to.Name, "accounts", taken)
 			return
@@ -143,8 +137,17 @@
 	s.putEach(r, taken, r.book.TakeBack)
 }
 
-// send gives tokens to a home. It returns false when the home says that it
-// did not take them; when it does not answer, they are lost.
+// homes returns the homes of a group that answer.
+func (p *repayer) homes(r *group) []home.VM {
+	s := p.gateway.state
+	s.mu.Lock()
+	homes := r.homes
+	s.mu.Unlock()
+	return p.gateway.borrower.answering(homes)
+}
+
+// send gives tokens to a home. It returns false when it is certain that the
+// home did not take them; when it does not answer, they are lost.
 func (p *repayer) send(to home.VM, accounts map[string]escrow.Repayment) bool {
 	p.sequence++
 	m := repayment{To: to.Incarnation, From: p.gateway.settings.Incarnation, Sequence: p.sequence, Accounts: accounts}
@@ -152,9 +155,10 @@
 	if err == nil {
 		return true
 	}
-	var refused *ViewError
-	if errors.As(err, &refused) {
-		p.gateway.log.Info("repayment refused", "home", to.Name, "error", err.Error())
+	var refused *AnswerError
+	var unsent *NoPeerError
+	if errors.As(err, &refused) || errors.As(err, &unsent) {
+		p.gateway.log.Info("repayment not taken", "home", to.Name, "error", err.Error())
 		return false
 	}
 	p.gateway.borrower.markFailed(to, err)
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
@@ -59,6 +60,27 @@
 	return g, nil
 }
 
+// Text returns the settings as ParseGateway reads them, without those that have
+// no value.
+func (g Gateway) Text() string {
+	var lines strings.Builder
+	v := reflect.ValueOf(g)
+	for i := range v.NumField() {
+		if field := v.Field(i); !field.IsZero() {
+			fmt.Fprintf(&lines, "%s=%s\n", v.Type().Field(i).Tag.Get("flag"), text(field))
+		}
+	}
+	return lines.String()
+}
+
+// text writes a field as set reads it.
+func text(field reflect.Value) string {
+	if list, ok := field.Interface().([]string); ok {
+		return strings.Join(list, ",")
+	}
+	return fmt.Sprint(field.Interface())
+}
+
 func checkGateway(g Gateway) []string {
 	v := validator.New()
 	if err := v.RegisterValidation("ipport", isIPPort); err != nil {
--- a/io/settings/gateway_test.go
+++ b/io/settings/gateway_test.go
@@ -30,6 +30,14 @@
 		Expect(g.RetryWindow).To(Equal(10 * time.Second))
 	})
 
+	It("reads what Text writes", func() {
+		g, err := ParseGateway([]byte(gatewayFile))
+		Expect(err).NotTo(HaveOccurred())
+		again, err := ParseGateway([]byte(g.Text()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(g))
+	})
+
 	for _, c := range []struct{ name, from, to, want string }{
 		{"missing", "HAWTHORNSPAR_NAME=vm1\n", "", "HAWTHORNSPAR_NAME is missing"},
 		{"a host name", "10.0.0.9:7000", "store:7000", "HAWTHORNSPAR_STORE must be an IP number"},
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -189,9 +189,9 @@
 	case Leave:
 		return p.leave(e)
 	case Misbehave:
-		e.runner.Behave(p.event.Behaviour)
+		e.standIn.Behave(p.event.Behaviour)
 		time.Sleep(d)
-		e.runner.Behave(standin.Answers)
+		e.standIn.Behave(standin.Answers)
 	case SlowLink:
 		e.link.Delay(linkLag)
 		time.Sleep(d)
@@ -206,19 +206,16 @@
 
 // crash ends an endpoint, and starts it again under another or the same id.
 func (p *player) crash(e *endpoint) error {
-	e.runner.Crash()
+	e.standIn.Crash()
 	time.Sleep(p.event.For)
 	if p.event.Kind == Crash {
-		if p.event.For > expiry {
-			p.soak.store.Expire(e.runner)
-		}
 		return p.restart(e)
 	}
-	return p.startAgain(e, e.runner.ID())
+	return p.startAgain(e, e.standIn.ID())
 }
 
 func (p *player) restart(e *endpoint) error {
-	p.soak.store.Expire(e.runner)
+	p.soak.store.Expire(e.standIn)
 	p.soak.mu.Lock()
 	e.lives++
 	id := fmt.Sprintf("%s-%d", e.name, e.lives)
@@ -227,7 +224,7 @@
 }
 
 func (p *player) startAgain(e *endpoint, id string) error {
-	if err := e.runner.Start(id); err != nil {
+	if err := e.standIn.Start(id); err != nil {
 		return err
 	}
 	return p.soak.register(e, false)
@@ -240,9 +237,9 @@
 		return err
 	}
 	r.mu.Lock()
-	r.history.Departures = append(r.history.Departures, Departure{Endpoint: e.runner.ID(), At: time.Now()})
+	r.history.Departures = append(r.history.Departures, Departure{Endpoint: e.standIn.ID(), At: time.Now()})
 	r.mu.Unlock()
 	time.Sleep(lingers)
-	e.runner.Crash()
+	e.standIn.Crash()
 	return p.restart(e)
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -116,7 +116,7 @@
 
 func ranAt(runs []standin.Run, endpoint string) bool {
 	for _, r := range runs {
-		if r.Runner == endpoint {
+		if r.Endpoint == endpoint {
 			return true
 		}
 	}
@@ -154,8 +154,8 @@
 			found = append(found, violation("asked for", "%s was sent by nobody", r.ID))
 		case r.Target != a.Target || r.Body != a.Body:
 			found = append(found, violation("asked for", "%s ran as %s %q", r.ID, r.Target, r.Body))
-		case r.Header.Get("X-Tenant") != a.Account || r.Header.Get("X-Api-Key") != "":
-			found = append(found, violation("account", "%s ran for %q, key %q", r.ID, r.Header.Get("X-Tenant"), r.Header.Get("X-Api-Key")))
+		case r.Account != a.Account || r.Key != "":
+			found = append(found, violation("account", "%s ran for %q, key %q", r.ID, r.Account, r.Key))
 		}
 	}
 	return found
@@ -183,7 +183,7 @@
 		until := d.At.Add(drainBound)
 		for _, r := range x.Runs {
 			a := x.attempts[r.ID]
-			if a != nil && r.Runner == d.Endpoint && r.At.After(until) && x.calm(a.VM, Span{d.At, r.At}) {
+			if a != nil && r.Endpoint == d.Endpoint && r.At.After(until) && x.calm(a.VM, Span{d.At, r.At}) {
 				found = append(found, violation("drain", "%s of %s ran at %s %s after it said that it leaves", r.ID, a.VM, d.Endpoint, r.At.Sub(d.At)))
 			}
 		}
@@ -211,7 +211,7 @@
 		if old || a.Status == 0 {
 			continue
 		}
-		if calm := x.calm(a.VM, Span{a.Sent.Add(-applyBound), a.Ended}); !calm {
+		if !x.calm(a.VM, Span{a.Sent.Add(-applyBound), a.Ended}) {
 			continue
 		}
 		if now == (a.Status == 404) {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -49,7 +48,7 @@
 		a.Prompt, a.Output, a.Text = 100, 25, wholeStream(id)
 	}
 	h.Attempts = append(h.Attempts, a)
-	h.Runs = append(h.Runs, standin.Run{ID: id, Target: target, Runner: endpoint, At: at(sent + 0.05), Ended: at(sent + 0.1), Header: http.Header{"X-Tenant": {"acme"}}})
+	h.Runs = append(h.Runs, standin.Run{ID: id, Target: target, Endpoint: endpoint, At: at(sent + 0.05), Ended: at(sent + 0.1), Account: "acme"})
 }
 
 func attempt(h *History, id string) *Attempt { return newIndex(h).attempts[id] }
@@ -80,9 +79,9 @@
 		{"a stream with a piece missing", "stream", func(h *History) { a := attempt(h, "stream"); a.Text, a.Whole = standin.Event("stream", 2), false }},
 		{"a run that nobody sent", "asked for", func(h *History) { h.Runs[0].ID = "smuggled" }},
 		{"a changed body", "asked for", func(h *History) { h.Runs[1].Body = "other" }},
-		{"a key that was passed on", "account", func(h *History) { h.Runs[1].Header.Set("X-Api-Key", "k") }},
+		{"a key that was passed on", "account", func(h *History) { h.Runs[1].Key = "k" }},
 		{"a budget that was exceeded", "prepaid", func(h *History) { attempt(h, "stream").Prompt = 2_000 }},
-		{"work for an endpoint that left", "drain", func(h *History) { h.Runs[4].Runner, attempt(h, "late").Seal = "a1", "a1" }},
+		{"work for an endpoint that left", "drain", func(h *History) { h.Runs[4].Endpoint, attempt(h, "late").Seal = "a1", "a1" }},
 		{"a new route that is not served", "configuration", func(h *History) { a := attempt(h, "probe"); a.Status = 404; drop(h, "probe") }},
 		{"a route that is refused after it was served", "configuration", func(h *History) {
 			add(h, "again", standin.MarkerPrefix(6), 16, "a2")
@@ -125,7 +124,7 @@
 	}{
 		{"work for a leaving endpoint from a VM that was cut off", func(h *History) {
 			a := attempt(h, "late")
-			h.Runs[4].Runner, a.Seal, a.Text = "a1", "a1", standin.Body("a1", "late")
+			h.Runs[4].Endpoint, a.Seal, a.Text = "a1", "a1", standin.Body("a1", "late")
 			h.Disturbed["vm1"] = []Span{{at(14), at(16)}}
 		}},
 		{"an old route right after a change", func(h *History) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 const (
 	endpointsEach = 3 // of each service
 	callersEach   = 2 // of each VM
+	// startWait is how long a process may take from its start to readiness.
+	startWait = 2 * time.Second
 	// warmUp passes before the first fault, and calmDown after the last: longer
 	// than a VM that lost all needs to serve again.
 	warmUp   = 3 * time.Second
@@ -54,12 +57,12 @@
 	history  History
 }
 
-// endpoint is a runner with its link.
+// endpoint is a stand-in with its link.
 type endpoint struct {
 	service string
 	name    string
 	lives   int
-	runner  *standin.Runner
+	standIn *standin.Endpoint
 	link    *link.Link
 	address string
 }
@@ -86,23 +89,23 @@
 }
 
 func (r *Run) addEndpoint(service, name string) error {
-	runner, err := standin.NewRunner(name + "-1")
+	standIn, err := standin.NewEndpoint(name + "-1")
 	if err != nil {
 		return err
 	}
-	runner.Pace = endpointPace
-	k, address, err := newLink(runner.Address)
+	standIn.Pace = endpointPace
+	k, address, err := newLink(standIn.Address)
 	if err != nil {
 		return err
 	}
-	e := &endpoint{service: service, name: name, lives: 1, runner: runner, link: k, address: address}
+	e := &endpoint{service: service, name: name, lives: 1, standIn: standIn, link: k, address: address}
 	r.endpoints = append(r.endpoints, e)
 	return r.register(e, false)
 }
 
 // register writes an endpoint's entry with the address of its link.
 func (r *Run) register(e *endpoint, draining bool) error {
-	return r.store.RegisterAt(e.service, e.runner, e.address, draining)
+	return r.store.RegisterAt(e.service, e.standIn, e.address, draining)
 }
 
 func (r *Run) addVMs() error {
@@ -169,7 +172,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.endpoints {
-		r.history.Runs = append(r.history.Runs, e.runner.Runs()...)
+		r.history.Runs = append(r.history.Runs, e.standIn.Runs()...)
 	}
 	for _, v := range r.vms {
 		if text, err := r.folder.Read(v.name + ".log"); err == nil && crashed(text) {
@@ -221,30 +224,30 @@
 // configure writes the next version: a route of its own is added, the oldest of
 // such routes removed.
 func (r *Run) configure() error {
-	r.mu.Lock()
-	d := r.document
-	d.Version += 3
-	d.Markers = append(append([]int64{}, d.Markers...), d.Version)
-	d.Markers = d.Markers[max(0, len(d.Markers)-markersKept):]
-	r.markers = append(r.markers, d.Version)
-	return r.put(d)
+	return r.change(func(d *standin.Document) {
+		d.Version += 3
+		d.Markers = append(slices.Clone(d.Markers), d.Version)
+		d.Markers = d.Markers[max(0, len(d.Markers)-markersKept):]
+		r.markers = append(r.markers, d.Version)
+	})
 }
 
 // topUp raises the budget of an account.
 func (r *Run) topUp(account int) error {
-	r.mu.Lock()
-	d := r.document
-	d.Version++
-	d.Accounts = append([]standin.Account{}, d.Accounts...)
-	d.Accounts[account%len(d.Accounts)].Prepaid += topUpTokens
-	return r.put(d)
+	return r.change(func(d *standin.Document) {
+		d.Version++
+		d.Accounts = slices.Clone(d.Accounts)
+		d.Accounts[account%len(d.Accounts)].Prepaid += topUpTokens
+	})
 }
 
-// put writes a document. The caller holds the lock, which put releases.
-func (r *Run) put(d standin.Document) error {
+// change edits the document, which shares no slice with earlier ones, and
+// writes it. The edit holds the lock.
+func (r *Run) change(edit func(*standin.Document)) error {
+	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.document = d
-	err := r.store.Configure(d)
-	r.history.Changes = append(r.history.Changes, Change{At: time.Now(), Document: d})
+	edit(&r.document)
+	err := r.store.Configure(r.document)
+	r.history.Changes = append(r.history.Changes, Change{At: time.Now(), Document: r.document})
 	return err
 }
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"hawthornspar/io/settings"
 	"hawthornspar/platform/standin"
 	"hawthornspar/standin/link"
 )
@@ -80,24 +81,12 @@
 
 // settings returns the text of the VM's settings file.
 func (v *vm) settings(seeds []string) string {
-	return fmt.Sprintf(`HAWTHORNSPAR_NAME=%s
-HAWTHORNSPAR_FAILURE_DOMAIN=z
-HAWTHORNSPAR_LISTEN=%s
-HAWTHORNSPAR_READY_LISTEN=%s
-HAWTHORNSPAR_CONTROL_LISTEN=%s
-HAWTHORNSPAR_PEER_LISTEN=%s
-HAWTHORNSPAR_SEEDS=%s
-HAWTHORNSPAR_STORE=%s
-HAWTHORNSPAR_STORE_WRITES=200
-HAWTHORNSPAR_BUDGET_GROUPS=4
-HAWTHORNSPAR_RETRY_RATIO=0.2
-HAWTHORNSPAR_RETRY_EXTRA=%d
-HAWTHORNSPAR_RETRY_WINDOW=10s
-HAWTHORNSPAR_GRACE=%s
-HAWTHORNSPAR_BUDGET_REPORT=500ms
-HAWTHORNSPAR_VERBOSITY=1
-# rewritten %d times
-`, v.name, v.listen, v.ready, v.control, v.peer, strings.Join(seeds, ","), v.storeAddress, retryExtra, grace, v.rewrites)
+	g := settings.Gateway{
+		Name: v.name, Domain: "z", Listen: v.listen, Ready: v.ready, Control: v.control, Peer: v.peer, Seeds: seeds,
+		Store: v.storeAddress, StoreWrites: 200, BudgetGroups: 4,
+		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, Grace: grace, Report: 500 * time.Millisecond, Verbosity: 1,
+	}
+	return fmt.Sprintf("%s# rewritten %d times\n", g.Text(), v.rewrites)
 }
 
 // signal sends a signal to the VM's process; false when none runs.
@@ -109,6 +98,3 @@
 	pid, err := strconv.Atoi(strings.TrimSpace(raw))
 	return err == nil && pid > 1 && syscall.Kill(pid, s) == nil
 }
-
-// startWait is how long a process may take from its start to readiness.
-const startWait = 2 * time.Second
