core/escrow, io/gateway: loans follow the need of a crowded VM

Home VMs put the totals of ten accounts into each transaction, 2,528 of 4,182 changes of totals were not applied, and with each conflict the VM's own allocation, whose burst limits what it may lend, was not renewed either. A loan was one request's need and an eighth of that burst; each home VM that was short cost 60 ms.

Change: after a conflict the next transactions leave that total alone, so that the VM's own row is written without a conflict; totals change only far from the target; the burst is 1.5 s of the measured rate, within 4 to 10% of what is unspent; a home VM lends up to half of what is available; a borrower asks one home VM again while it lends, until none of its requests waits.

Tried and not kept: at most 1, 2 or 3 totals in one transaction (conflicts the same).

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -22,6 +22,11 @@
 	reservedSince    int64 // tokens reserved since rateUpdated
 	waiting          int64 // tokens that waiting requests need
 	otherVMs         otherVMs
+	// conflicts counts the conflicts in a row over the account's total, and
+	// deferredAdjustments the next transactions that leave the total alone
+	// because of them.
+	conflicts           int
+	deferredAdjustments int
 }
 
 // otherVMs sums up an account's allocations to all other VMs.
--- a/core/escrow/budgets.go
+++ b/core/escrow/budgets.go
@@ -15,19 +15,25 @@
 	// draw; the rest stays in the store for any VM that runs short.
 	allocatedShare = 0.8
 	// drawBelowShare and returnAboveShare are the shares of its target at which
-	// a VM draws more tokens or returns the excess.
-	drawBelowShare   = 0.9
-	returnAboveShare = 1.1
+	// a VM draws more tokens or returns the excess. They are far apart: the
+	// shares of home VMs shift with every loan, and each change of an account's
+	// total conflicts with those of the other home VMs.
+	drawBelowShare   = 0.6
+	returnAboveShare = 1.6
 	// minChangeShare is the share of a prepaid budget below which a difference
 	// from the target does not justify a write.
 	minChangeShare = 0.001
 	// idleWeight is the weight of a VM without requests relative to the mean of
 	// all home VMs. It is not zero, as any VM may receive the next request.
 	idleWeight = 0.25
-	// burstShare is the share of an account's unspent budget that all VMs
-	// together may spend before they write their allocations again. The part of
-	// it that a crashed VM may have spent is lost to the account.
-	burstShare = 0.04
+	// minBurstShare and maxBurstShare bound the share of an account's unspent
+	// budget that all VMs together may spend before they write their allocations
+	// again. The part of it that a crashed VM may have spent is lost to the
+	// account. Within the bounds the burst is the spending in burstTime, which
+	// covers most of burstOnlyPeriod.
+	minBurstShare = 0.04
+	maxBurstShare = 0.1
+	burstTime     = 1500 * time.Millisecond
 	// deferredBurstTime is the time at the measured token rate whose spending
 	// becomes available at once after burstOnlyPeriod.
 	deferredBurstTime = time.Second
--- a/core/escrow/home_loan.go
+++ b/core/escrow/home_loan.go
@@ -7,7 +7,7 @@
 	// extraLoanShare is the share of the tokens available beyond the need of a
 	// request that a home VM lends as well, so that one borrower does not use
 	// them up.
-	extraLoanShare = 0.125
+	extraLoanShare = 0.5
 	// repayAboveFactor is the multiple of the spending in borrowAheadTime above
 	// which a borrower repays free tokens.
 	repayAboveFactor = 2
--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -55,6 +55,20 @@
 	return need, max(need, a.shortfall(now)) + int64(a.tokenRate*borrowAheadTime.Seconds())
 }
 
+// WaitingShortfall returns the tokens to borrow for requests that wait: need for
+// the one with the given tokens, and want for all of them and the requests after
+// them. Both are 0 when no request is short of tokens.
+func (b *Budgets) WaitingShortfall(name string, tokens int64, now time.Time) (need, want int64) {
+	a := b.accounts[name]
+	if a == nil {
+		return 0, 0
+	}
+	if need, want = b.Shortfall(name, min(tokens, a.waiting), now); need == 0 {
+		return 0, 0
+	}
+	return need, want
+}
+
 // Lender is a VM that may have tokens to lend.
 type Lender struct {
 	VM      string
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -90,6 +90,10 @@
 		unaccounted = b.previous.unaccounted(name, b.previousEndMs)
 		grant = a.adjustment(b.homeVMs, a.prepaid-a.drawnTotal+reclaimed)
 	}
+	if a.deferredAdjustments > 0 && !a.drawsForWaiting() {
+		a.deferredAdjustments--
+		grant = 0
+	}
 	switch {
 	case b.closing:
 		grant = min(a.committed()-a.granted, 0)
@@ -140,13 +144,25 @@
 	return (a.tokenRate + idle) / (totalRate + idle*float64(homeVMs))
 }
 
+// drawsForWaiting reports whether requests wait for tokens that the VM must
+// draw.
+func (a *account) drawsForWaiting() bool { return a.waiting > a.granted-a.committed() }
+
+// burst returns the tokens that the VM may spend before its next write: those of
+// burstTime at the measured rate, within its part of the bounds for all VMs.
+// unspent is the number of tokens that are free at any VM or undrawn.
+func (a *account) burst(homeVMs int, unspent int64) int64 {
+	part := float64(unspent) * a.weight(homeVMs)
+	return int64(min(max(a.tokenRate*burstTime.Seconds(), minBurstShare*part), maxBurstShare*part))
+}
+
 // allocation returns the account's allocation after a grant of more tokens.
 func (a *account) allocation(grant int64, homeVMs int) Allocation {
 	committed := a.committed()
 	granted := a.granted + grant
 	free := max(granted-committed, 0)
 	unspent := max(a.prepaid-a.drawnTotal, 0) + free + a.otherVMs.free
-	burst := int64(burstShare*float64(unspent)*a.weight(homeVMs)) + a.waiting
+	burst := a.burst(homeVMs, unspent) + a.waiting
 	fast := max(fastRateFactor*a.tokenRate, float64(free)/fastDrainTime.Seconds())
 	return Allocation{
 		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, TokenRate: int64(a.tokenRate),
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -1,7 +1,10 @@
 package escrow
 
 import (
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // totalsPerTransaction keeps a transaction, with a condition and a change for
@@ -98,6 +101,7 @@
 	for _, c := range t.Totals {
 		a := b.accounts[c.Account]
 		a.granted += max(c.Grant, 0)
+		a.conflicts = 0
 		a.drawnTotal, a.unaccountedTotal, a.version = c.Total.Drawn, c.Total.Unaccounted, version
 	}
 	b.dropBoundsBefore(t.VMAllocations.Sequence)
@@ -138,6 +142,7 @@
 	}
 	b.pending = nil
 	b.undo(t)
+	b.deferAdjustments(t, c)
 	if own.Version != b.ownVersion {
 		if b.ownRowWritten {
 			return false
@@ -150,6 +155,27 @@
 	return true
 }
 
+// maxDeferredAdjustments bounds the transactions that leave a total alone after a
+// conflict over it.
+const maxDeferredAdjustments = 16
+
+// deferAdjustments makes the next transactions leave those totals alone that
+// other VMs have changed meanwhile, so that the VM's own allocations, which no
+// other VM changes, are written without another conflict. The number is
+// different for each VM and doubles in the mean with each conflict in a row.
+func (b *Budgets) deferAdjustments(t *Transaction, c Snapshot) {
+	for _, total := range t.Totals {
+		if c.Totals[total.Account].Version == total.Version {
+			continue
+		}
+		a := b.accounts[total.Account]
+		a.conflicts++
+		limit := min(1<<a.conflicts, maxDeferredAdjustments)
+		seed := b.vm + "/" + total.Account + "/" + strconv.FormatInt(b.sequence, 10)
+		a.deferredAdjustments = 1 + int(xxhash.Sum64String(seed)%uint64(limit))
+	}
+}
+
 // undo reverts the effects of planning a transaction that was not applied and
 // will not be.
 func (b *Budgets) undo(t *Transaction) {
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -26,7 +26,7 @@
 	// VM's wait for the store and a response inside a region.
 	peerRequestTimeout = 150 * time.Millisecond
 	// maxLenders bounds the VMs that get a loan request for one client request.
-	maxLenders = 4
+	maxLenders = home.HomesPerGroup
 	// failedPeerPause is how long a VM gets no requests after one has failed.
 	failedPeerPause = 2 * time.Second
 	// shortfallPause is how long no loan requests follow after the other VMs
--- a/io/gateway/borrowing.go
+++ b/io/gateway/borrowing.go
@@ -16,19 +16,18 @@
 	reported  shortfall // what those lenders reported
 }
 
-// run requests loans from the lenders in turn until the shortfall is covered.
-// An active home VM first leaves the store time to cover it.
+// run requests loans from the lenders in turn until no request of the account
+// waits for tokens. An active home VM first leaves the store time to cover the
+// shortfall.
 func (bw *borrowing) run() {
 	defer bw.finish()
 	if bw.isActiveHome() && !bw.group.storeFailing.Load() {
 		time.Sleep(storeHeadStart)
 	}
 	for _, l := range bw.lenders() {
-		need, want := bw.shortfall()
-		if need == 0 {
+		if bw.exhaust(l) {
 			return
 		}
-		bw.borrowFrom(l, need, want)
 		if bw.reported.exhausted {
 			break
 		}
@@ -38,6 +37,20 @@
 	}
 }
 
+// exhaust borrows from one VM until it lends nothing. It reports whether the
+// shortfall is covered.
+func (bw *borrowing) exhaust(v home.VM) bool {
+	for {
+		need, want := bw.shortfall()
+		if need == 0 {
+			return true
+		}
+		if !bw.borrowFrom(v, need, want) {
+			return false
+		}
+	}
+}
+
 // recordShortfall records for later requests that the other VMs did not lend
 // enough.
 func (bw *borrowing) recordShortfall(need int64) {
@@ -72,13 +85,13 @@
 	return bw.group.isActiveHome()
 }
 
-// shortfall returns the tokens that the request is missing, and the number that
-// is worth borrowing.
+// shortfall returns the tokens that a waiting request is missing, and the number
+// that is worth borrowing.
 func (bw *borrowing) shortfall() (need, want int64) {
 	s := bw.borrower.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return bw.group.budgets.Shortfall(bw.account, bw.tokens, time.Now())
+	return bw.group.budgets.WaitingShortfall(bw.account, bw.tokens, time.Now())
 }
 
 // lenders returns the VMs to borrow from. A home VM knows the allocations of the
@@ -100,25 +113,27 @@
 	return vms[:min(len(vms), maxLenders)]
 }
 
-// borrowFrom requests a loan from one VM and adds it to the account's tokens.
-func (bw *borrowing) borrowFrom(v home.VM, need, want int64) {
+// borrowFrom requests a loan from one VM and adds it to the account's tokens. It
+// reports whether the VM lent any.
+func (bw *borrowing) borrowFrom(v home.VM, need, want int64) bool {
 	g := bw.borrower.gateway
 	response, err := bw.borrower.requestLoan(v, loan{Account: bw.account, Need: need, Want: want, FromHome: bw.isActiveHome()})
 	if err != nil {
 		bw.borrower.markFailed(v, err)
-		return
+		return false
 	}
 	g.log.V(1).Info("budget borrowed", "account", bw.account, "lender", v.Name, "need", need, "given", response.Lent,
 		"exhausted", response.Exhausted, "laterMs", response.RetryAfterMs)
 	bw.responses++
 	bw.recordResponse(response)
 	if response.Lent == 0 {
-		return
+		return false
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	bw.group.budgets.AddLoan(bw.account, response.Lent)
 	bw.group.notifyUpdate()
+	return true
 }
 
 // recordResponse records what a response says about later requests. Of several
--- a/io/gateway/reserve.go
+++ b/io/gateway/reserve.go
@@ -68,6 +68,9 @@
 		}
 		x.gateway.state.setWaiting(x.account.Name, tokens, &waiting, true)
 		x.gateway.state.group(x.account.Name).wake()
+		if refused == nil {
+			x.gateway.borrower.startBorrowing(x.gateway.state.group(x.account.Name), x.account.Name, tokens)
+		}
 		if !x.waitForChange(changed, next) {
 			return &clientDisconnected
 		}
@@ -125,7 +128,6 @@
 	case known && !drawable:
 		return nil, changed, &budgetShort
 	}
-	g.borrower.startBorrowing(gr, account, tokens)
 	return nil, changed, nil
 }
 
