io/gateway: a VM whose link is full does not send by an old registry

An endpoint that left while a connection to it was opened also got the request. By reading: a view of another VM listed endpoints in their grace period without saying so, and the adopting VM used them until the store told it otherwise.

Change: a VM records when the store or another VM last responded, and estimates the backlog of its link; with a busy link it refuses (not run) once both together pass the drain notice, a new setting. The endpoint is checked again after the connection is open. Views carry the rest of each grace period.

--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -95,6 +95,6 @@
 		Listen: s.Listen, ReadyListen: s.ReadyListen, PeerListen: s.PeerListen, ControlListen: s.ControlListen, Seeds: s.Seeds, MetricsListen: s.MetricsListen,
 		Retries:              retrybudget.Limit{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		BudgetReportInterval: s.BudgetReportInterval, BudgetGroups: s.BudgetGroups, StoreWritesPerSecond: s.StoreWritesPerSecond,
-		GracePeriod: s.GracePeriod, LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
+		GracePeriod: s.GracePeriod, DrainNotice: s.DrainNotice, LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 	}
 }
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -51,4 +51,7 @@
 	Put        []Registration
 	Removed    []string // ids
 	Unreadable []string // ids of rows without a valid registration
+	// Expiring holds how much longer endpoints in Put are used that the source
+	// of the change knows to be missing, by id.
+	Expiring map[string]time.Duration
 }
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -122,21 +122,32 @@
 }
 
 // Registrations returns the registrations of all endpoints that have not
-// expired, including those that were removed from the registry but are still
-// used for a grace period.
-func (t *Table) Registrations(now time.Time) []Registration {
-	list := []Registration{}
-	for _, e := range t.byID {
-		if e.expiresAt.IsZero() || now.Before(e.expiresAt) {
-			list = append(list, e.Registration)
+// expired. expiring holds how much longer those are used that were removed from
+// the registry and are in their grace period, by id.
+func (t *Table) Registrations(now time.Time) (list []Registration, expiring map[string]time.Duration) {
+	list, expiring = []Registration{}, map[string]time.Duration{}
+	for id, e := range t.byID {
+		switch {
+		case e.expiresAt.IsZero():
+		case now.Before(e.expiresAt):
+			expiring[id] = e.expiresAt.Sub(now)
+		default:
+			continue
 		}
+		list = append(list, e.Registration)
 	}
-	return list
+	return list, expiring
 }
 
 // Get returns the endpoint with an id, or nil when there is none.
 func (t *Table) Get(id string) *Endpoint { return t.byID[id] }
 
+// Accepts reports whether an endpoint that was chosen earlier is still registered
+// and accepts new requests.
+func (t *Table) Accepts(e *Endpoint, now time.Time) bool {
+	return t.byID[e.ID] == e && e.usable(now)
+}
+
 // Count returns the number of endpoints of a service that accept new requests.
 func (t *Table) Count(service string, now time.Time) int {
 	n := 0
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -93,7 +93,7 @@
 	if x.countUnreachable(last) {
 		return finish, x.finalRefusal(last)
 	}
-	needsRetryBudget := x.attemptsSent > 0 && last != unreachable && last != endpointError
+	needsRetryBudget := x.attemptsSent > 0 && last != unreachable && last != endpointLeft && last != endpointError
 	if needsRetryBudget && !x.gateway.state.takeRetry(x.service) {
 		return finish, x.finalRefusal(retryBudgetExhausted)
 	}
@@ -156,8 +156,14 @@
 	}
 	stop := conn.CloseOnDone(ctx)
 	defer stop()
+	if !x.gateway.state.accepts(a) { // it left while the connection was opened
+		conn.Close()
+		return endpoints.Inconclusive, retry, endpointLeft
+	}
 	x.attemptsSent++
-	err = conn.Send(x.endpointRequest(a))
+	request := x.endpointRequest(a)
+	x.gateway.uplink.add(estimatedHeadBytes/2 + len(request.Body))
+	err = conn.Send(request)
 	if err != nil {
 		conn.Close()
 		var unsent *http1.UnsentError
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -36,9 +36,12 @@
 // fleetView is what a VM knows of the fleet. It omits what is not newer than
 // what the requesting VM has.
 type fleetView struct {
-	Authority       *certificate.Pair        `json:"authority,omitempty"`
-	Configuration   *route.Document          `json:"configuration,omitempty"`
-	Endpoints       []endpoints.Registration `json:"endpoints,omitempty"`
+	Authority     *certificate.Pair        `json:"authority,omitempty"`
+	Configuration *route.Document          `json:"configuration,omitempty"`
+	Endpoints     []endpoints.Registration `json:"endpoints,omitempty"`
+	// Expiring holds the rest of the grace period of the endpoints that are
+	// missing in the registry, by id.
+	Expiring        map[string]time.Duration `json:"expiring,omitempty"`
 	RegistryVersion int64                    `json:"registryVersion"`
 	VMs             []home.VM                `json:"vms,omitempty"`
 }
@@ -104,7 +107,7 @@
 		v.Configuration = s.routeTable.Document
 	}
 	if s.registryKnown && s.registryVersion > registry {
-		v.Endpoints = s.endpoints.Registrations(time.Now())
+		v.Endpoints, v.Expiring = s.endpoints.Registrations(time.Now())
 	}
 	return v
 }
@@ -139,11 +142,13 @@
 func (p *fleetPoller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
+	sent := time.Now()
 	view, from, err := p.fetchAny(ctx)
 	if err != nil {
 		p.gateway.log.V(1).Info("fleet view not received", "from", from, "error", err.Error())
 		return
 	}
+	p.gateway.state.recordRegistryCheck(sent)
 	p.gateway.adopt(view, from)
 }
 
@@ -206,7 +211,7 @@
 	}
 	if v.Endpoints != nil {
 		g.log.Info("registry from a VM", "from", from, "version", v.RegistryVersion, "endpoints", len(v.Endpoints))
-		g.replaceRegistry(endpoints.RegistryChange{Put: v.Endpoints}, v.RegistryVersion, time.Now().Add(expiryGrace))
+		g.replaceRegistry(endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, time.Now().Add(expiryGrace))
 	}
 	if v.Authority != nil {
 		g.authority.CompareAndSwap(nil, v.Authority)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -34,6 +34,7 @@
 	BudgetGroups         int           // number of groups of client accounts; the same at all VMs and never changed
 	StoreWritesPerSecond float64       // transactions per second that one partition of the store accepts
 	GracePeriod          time.Duration // from SIGTERM until the process is killed
+	DrainNotice          time.Duration // how long endpoints serve after they registered as draining; 0 when unknown
 	LinkBytesPerSecond   float64       // bytes per second that the VM's link carries each way; 0 for no limit
 }
 
@@ -58,6 +59,7 @@
 	trafficBytes         atomic.Int64 // bytes of requests and responses since the last sample
 	requests             atomic.Int64 // client requests since the last sample
 	congestion           congestion
+	uplink               uplink
 	linkBusy             atomic.Bool // the link is near its capacity
 	closeKeepAlive       atomic.Bool // kept-alive connections are closed because the link is busy
 	server               *server
@@ -77,7 +79,8 @@
 		settings: s, store: st, dialect: d, pool: p, state: newState(s),
 		log: logr.Discard(), metrics: m, started: time.Now(),
 	}
-	g.reloaded.Store(&Reloadable{GracePeriod: s.GracePeriod, Seeds: s.Seeds, StoreWritesPerSecond: s.StoreWritesPerSecond})
+	g.uplink.backlog.Capacity = s.LinkBytesPerSecond
+	g.reloaded.Store(reloadable(s))
 	for _, o := range options {
 		o(g)
 	}
@@ -123,12 +126,13 @@
 }
 
 // Reload applies the settings that can change while the process runs: the retry
-// budget, the grace period, the seeds and the store's write rate.
+// budget, the grace period, the seeds, the store's write rate and the drain
+// notice.
 func (g *Gateway) Reload(s Settings) {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.state.retries.SetLimit(s.Retries)
-	g.reloaded.Store(&Reloadable{GracePeriod: s.GracePeriod, Seeds: s.Seeds, StoreWritesPerSecond: s.StoreWritesPerSecond})
+	g.reloaded.Store(reloadable(s))
 }
 
 // Reloadable is the part of Settings that can change while the process runs.
@@ -136,4 +140,9 @@
 	GracePeriod          time.Duration
 	Seeds                []string
 	StoreWritesPerSecond float64
+	DrainNotice          time.Duration
+}
+
+func reloadable(s Settings) *Reloadable {
+	return &Reloadable{GracePeriod: s.GracePeriod, Seeds: s.Seeds, StoreWritesPerSecond: s.StoreWritesPerSecond, DrainNotice: s.DrainNotice}
 }
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -94,6 +94,48 @@
 	return c.detector.Congested(time.Now())
 }
 
+// uplink estimates how long sent bytes wait in the VM's own link.
+type uplink struct {
+	mu      sync.Mutex
+	backlog load.Backlog
+}
+
+// add counts bytes that are sent to an endpoint or a client.
+func (u *uplink) add(bytes int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.backlog.Add(bytes, time.Now())
+}
+
+// delay returns how long bytes that are sent now wait.
+func (u *uplink) delay() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.backlog.Delay(time.Now())
+}
+
 // overloaded reports whether a request would be queued in the VM's own link
-// until its deadline: its client had better try another VM.
-func (g *Gateway) overloaded() bool { return g.linkBusy.Load() && g.congestion.congested() }
+// until its deadline, or might reach an endpoint that has left: its client had
+// better try another VM.
+func (g *Gateway) overloaded() bool {
+	if !g.linkBusy.Load() {
+		return false
+	}
+	return g.congestion.congested() || !g.state.registryCovers(g.uplink.delay(), g.reloaded.Load().DrainNotice)
+}
+
+// registryCovers reports whether the known registry is recent enough for a
+// request that waits for delay in the VM's own link. notice is 0 when unknown.
+func (s *state) registryCovers(delay, notice time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return notice == 0 || s.registryFreshness.Covers(delay, notice, time.Now())
+}
+
+// recordRegistryCheck records that the store or another VM responded to a
+// request for the registry that was sent at the given time.
+func (s *state) recordRegistryCheck(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registryFreshness.Check(sent)
+}
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -43,6 +43,9 @@
 var (
 	// unreachable follows an attempt that did not reach its endpoint.
 	unreachable = refusal{status: http.StatusServiceUnavailable, reason: "unreachable", retryAfter: 300 * time.Millisecond}
+	// endpointLeft follows an attempt whose endpoint stopped accepting requests
+	// before the request was sent.
+	endpointLeft = refusal{status: http.StatusServiceUnavailable, reason: "endpointLeft", retryAfter: 300 * time.Millisecond}
 	// misdirected follows an attempt at an address that another endpoint has
 	// now.
 	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", retryAfter: 300 * time.Millisecond}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -79,10 +79,16 @@
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, response.Body, *buffer)
-	x.gateway.trafficBytes.Add(n)
+	x.gateway.countResponseBytes(int(n))
 	return err
 }
 
+// countResponseBytes counts bytes of a response that are sent to a client.
+func (g *Gateway) countResponseBytes(n int) {
+	g.trafficBytes.Add(int64(n))
+	g.uplink.add(n)
+}
+
 // writeHead writes the head of the response once.
 func (x *exchange) writeHead(response *http.Response) {
 	if x.relayed.started {
@@ -124,7 +130,7 @@
 			events := pending[:lastEnd+len(eventEnd)]
 			x.writeHead(response)
 			x.recordEvents(events)
-			x.gateway.trafficBytes.Add(int64(len(events)))
+			x.gateway.countResponseBytes(len(events))
 			if _, e := x.writer.Write(events); e != nil {
 				return e
 			}
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -22,15 +22,16 @@
 	registryKnown bool // whether the store or another VM has sent the registry of endpoints
 	// registryVersion is the store's version that the known registry
 	// corresponds to.
-	registryVersion int64
-	groups          []*group
-	retries         *retrybudget.Budget
-	members         []home.VM // VMs that are alive, as last read; nil when none are known
-	homesKnown      bool      // whether this VM knows the home VMs
-	vmCount         int       // number of VMs that share limits
-	ownRate         float64   // client requests per second at this VM
-	otherRates      float64   // client requests per second at the other VMs, as last read
-	random          endpoints.Random
+	registryVersion   int64
+	registryFreshness endpoints.Freshness
+	groups            []*group
+	retries           *retrybudget.Budget
+	members           []home.VM // VMs that are alive, as last read; nil when none are known
+	homesKnown        bool      // whether this VM knows the home VMs
+	vmCount           int       // number of VMs that share limits
+	ownRate           float64   // client requests per second at this VM
+	otherRates        float64   // client requests per second at the other VMs, as last read
+	random            endpoints.Random
 }
 
 // globalRandom is the random source of the process.
@@ -92,6 +93,13 @@
 	return attempt
 }
 
+// accepts reports whether an attempt's endpoint still accepts new requests.
+func (s *state) accepts(attempt *endpoints.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints.Accepts(attempt.Endpoint, time.Now())
+}
+
 // recordFirstChunk records that the first chunk of an attempt's response
 // arrived.
 func (s *state) recordFirstChunk(attempt *endpoints.Attempt) {
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -144,12 +144,14 @@
 
 // step reads the complete registry once, and its changes from then on.
 func (r *registrySyncer) step(ctx context.Context) error {
+	sent := time.Now()
 	if !r.known {
 		change, version, err := r.gateway.store.Registry(ctx)
 		if err != nil {
 			return err
 		}
 		r.version, r.known = version, true
+		r.gateway.state.recordRegistryCheck(sent)
 		r.gateway.replaceRegistry(change, version, r.expiryTime())
 		return nil
 	}
@@ -160,6 +162,7 @@
 		return err
 	}
 	r.version = version
+	r.gateway.state.recordRegistryCheck(sent)
 	r.gateway.changeRegistry(change, version, r.expiryTime())
 	return nil
 }
@@ -206,6 +209,9 @@
 			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String())
 		}
 	}
+	for id, remaining := range c.Expiring {
+		s.endpoints.Expire(id, time.Now().Add(remaining))
+	}
 	for _, id := range append(c.Removed, c.Unreadable...) {
 		if s.endpoints.Expire(id, expiresAt) {
 			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(expiresAt))
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -32,6 +32,7 @@
 	BudgetReportInterval time.Duration `validate:"min=100ms,max=1m" flag:"HAWTHORNSPAR_BUDGET_REPORT"`
 	StoreWritesPerSecond float64       `validate:"min=1,max=1000000" flag:"HAWTHORNSPAR_STORE_WRITES" reload:"yes"`
 	BudgetGroups         int           `validate:"min=0,max=4096" flag:"HAWTHORNSPAR_BUDGET_GROUPS"`
+	DrainNotice          time.Duration `validate:"min=0,max=10m" flag:"HAWTHORNSPAR_DRAIN_NOTICE" reload:"yes"`
 	LinkMbps             float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_LINK_MBPS"`
 	MemoryMB             int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
 	Verbosity            int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
