--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -96,5 +96,6 @@
 		Retries:              retrybudget.Limit{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		BudgetReportInterval: s.BudgetReportInterval, BudgetGroups: s.BudgetGroups, StoreWritesPerSecond: s.StoreWritesPerSecond,
 		GracePeriod: s.GracePeriod, DrainNotice: s.DrainNotice, LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
+		MemoryBytes: int64(s.MemoryMB) << 20,
 	}
 }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -38,6 +38,7 @@
 	properties           endpoints.Request // what the choice of an endpoint depends on
 	deadline             time.Time
 	body                 []byte
+	bodyMemory           int64 // bytes counted for the body in Gateway.bufferedBytes
 
 	reservation  *escrow.Reservation
 	attempted    map[string]bool // endpoints that were chosen for earlier attempts
@@ -62,6 +63,7 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	defer x.settle()
+	defer x.limitWrites()()
 	last := noEndpoint
 	for {
 		next, refused := x.nextAttempt(ctx, last)
@@ -82,6 +84,24 @@
 	}
 }
 
+// maxWriteTime is how long after a request's deadline its client may take to read
+// the response. A response that is ready is delivered late too, but a client that
+// has stopped reading must not hold the request for good.
+const maxWriteTime = 5 * time.Second
+
+// limitWrites limits the time for writing the response, and returns a function
+// that removes the limit for the next request on the connection.
+func (x *exchange) limitWrites() func() {
+	control := http.NewResponseController(x.writer)
+	if err := control.SetWriteDeadline(x.deadline.Add(maxWriteTime)); err != nil {
+		x.gateway.log.V(1).Info("no write deadline", "id", x.info.ID, "error", err.Error())
+	}
+	return func() {
+		// It fails only on a closed connection.
+		_ = control.SetWriteDeadline(time.Time{})
+	}
+}
+
 // nextAttempt chooses an endpoint and makes one attempt there, if the time, the
 // endpoints and the retry budget allow it. last is the refusal that the
 // previous attempt ended with. A retry is not charged to the retry budget if
@@ -172,7 +192,7 @@
 		}
 		return x.noResponse(ctx, err)
 	}
-	response, err := conn.ReadResponse(x.request.Method, x.isOwnResponse)
+	response, err := conn.ReadResponse(x.request.Method, func(r *http.Response) bool { return x.isOwnResponse(r, conn.Reused()) })
 	if err != nil {
 		conn.Close()
 		return x.noResponse(ctx, err)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -35,6 +35,7 @@
 	StoreWritesPerSecond float64       // transactions per second that one partition of the store accepts
 	GracePeriod          time.Duration // from SIGTERM until the process is killed
 	DrainNotice          time.Duration // how long endpoints serve after they registered as draining; 0 when unknown
+	MemoryBytes          int64         // memory of the VM; 0 when unknown
 	LinkBytesPerSecond   float64       // bytes per second that the VM's link carries each way; 0 for no limit
 }
 
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hawthornspar/core/endpoints"
 	"hawthornspar/io/http1"
 )
@@ -16,6 +18,16 @@
 // relayBufferBytes is the size of one read from an endpoint.
 const relayBufferBytes = 4096
 
+// maxEventBytes bounds one event of a stream, which is held back until it is
+// complete.
+const maxEventBytes = 1 << 20
+
+// EventTooLargeError reports an event that exceeds maxEventBytes.
+type EventTooLargeError struct{}
+
+// Error implements error.
+func (*EventTooLargeError) Error() string { return "the event is too large" }
+
 // buffers keeps read buffers for reuse.
 var buffers = sync.Pool{New: func() any { b := make([]byte, relayBufferBytes); return &b }}
 
@@ -124,6 +136,9 @@
 	for {
 		n, err := response.Body.Read(*buffer)
 		pending = append(pending, (*buffer)[:n]...)
+		if len(pending) > maxEventBytes {
+			return errors.WithStack(&EventTooLargeError{})
+		}
 		lastEnd := bytes.LastIndex(pending, eventEnd)
 		if lastEnd >= 0 {
 			x.gateway.state.recordFirstChunk(a)
@@ -161,12 +176,27 @@
 	eventIDField = []byte("id:")
 )
 
-// recordEvents counts complete events and records the last id.
+// recordEvents counts complete events, without those that are only comments, and
+// records the last id.
 func (x *exchange) recordEvents(events []byte) {
-	x.relayed.events += bytes.Count(events, eventEnd)
+	for event := range bytes.SplitSeq(bytes.TrimSuffix(events, eventEnd), eventEnd) {
+		if !onlyComments(event) {
+			x.relayed.events++
+		}
+	}
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
 		if bytes.HasPrefix(line, eventIDField) {
 			x.relayed.lastEvent = string(bytes.TrimSpace(line[len(eventIDField):]))
 		}
 	}
 }
+
+// onlyComments reports whether an event has no field.
+func onlyComments(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/route"
 	"hawthornspar/io/http1"
@@ -41,16 +42,24 @@
 	return x.route.Kind.Repeatable() && x.possibleRuns < max(x.route.MaxAttempts, 1)
 }
 
-// isOwnResponse reports whether a response belongs to this request. Only a
-// response with a status of 300 or above may lack the request's id.
-func (x *exchange) isOwnResponse(r *http.Response) bool {
+// isOwnResponse reports whether a response belongs to this request. A response
+// may lack the request's id only if its status is 300 or above and its connection
+// has carried no other request, a late second response to which it could be.
+func (x *exchange) isOwnResponse(r *http.Response, reused bool) bool {
 	head := x.gateway.dialect.ReadResponse(r.Header)
-	if head.RequestID != "" || r.StatusCode < http.StatusMultipleChoices {
+	if head.RequestID != "" || reused || r.StatusCode < http.StatusMultipleChoices {
 		return head.RequestID == x.info.ID
 	}
 	return true
 }
 
+// UnsealedResponseError reports a success that no endpoint has sealed, so that it
+// is no response to the request.
+type UnsealedResponseError struct{}
+
+// Error implements error.
+func (*UnsealedResponseError) Error() string { return "the response has no seal of an endpoint" }
+
 // handleResponse decides what an endpoint's response means for the request, and
 // relays it unless another attempt follows. stop is the result of CloseOnDone
 // for conn.
@@ -64,6 +73,10 @@
 		x.discardResponse(conn, response, stop)
 		return endpoints.Rejected, retry, endpointsFull
 	}
+	if !head.Sealed && response.StatusCode < http.StatusMultipleChoices {
+		conn.Close()
+		return x.noResponse(ctx, errors.WithStack(&UnsealedResponseError{}))
+	}
 	x.possibleRuns++
 	serverError := response.StatusCode >= http.StatusInternalServerError
 	if serverError && x.route.Kind.Repeatable() && x.mayRetry() && x.gateway.state.takeRetry(x.service) {
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -12,10 +12,6 @@
 	"hawthornspar/core/route"
 )
 
-// maxBufferedBytes bounds the memory for request bodies, well below that of a
-// small VM.
-const maxBufferedBytes = 64 << 20
-
 // maxDiscardBytes and maxDiscardWait bound what is read of a refused body: a
 // few receive windows of a TCP connection, well within a client's timeout.
 const (
@@ -36,11 +32,11 @@
 	if g.shuttingDown.Load() || g.closeKeepAlive.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer x.releaseBody()
 	if refused := x.admit(); refused != nil {
 		x.refuse(*refused)
 		return
 	}
-	defer g.bufferedBytes.Add(-int64(len(x.body)))
 	if g.overloaded() {
 		x.refuse(linkCongested)
 		return
@@ -109,29 +105,27 @@
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		return nil
 	}
-	if limit > 0 && r.ContentLength > limit {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
 		x.discardBody()
 		return &bodyTooLarge
 	}
-	if x.gateway.bufferedBytes.Load()+max(r.ContentLength, 0) > maxBufferedBytes {
+	if !x.reserveMemory(max(r.ContentLength, 0)) {
 		return &bodyMemoryFull
 	}
 	control := http.NewResponseController(x.writer)
 	if err := control.SetReadDeadline(x.deadline); err != nil {
 		return &unreadableBody
 	}
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(x.writer, r.Body, limit)
-	}
-	body, err := readAll(r.Body, r.ContentLength)
+	r.Body = http.MaxBytesReader(x.writer, r.Body, limit)
+	body, err := x.readAll(r.Body)
 	x.gateway.trafficBytes.Add(int64(len(body)))
-	x.gateway.bufferedBytes.Add(int64(len(body)))
-	x.body = body
 	if err != nil {
-		x.gateway.bufferedBytes.Add(-int64(len(body)))
-		x.body = nil
 		return bodyRefusal(err)
 	}
+	x.body = body
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return &unreadableBody
 	}
@@ -149,13 +143,12 @@
 	}
 }
 
-// readAll reads a body of the given length, or up to its end if the length is
-// unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
+// readAll reads the body, up to its end if its length is unknown.
+func (x *exchange) readAll(r io.Reader) ([]byte, error) {
+	if x.request.ContentLength <= 0 {
+		return io.ReadAll(&memoryReader{exchange: x, source: r})
 	}
-	body := make([]byte, length)
+	body := make([]byte, x.request.ContentLength)
 	n, err := io.ReadFull(r, body)
 	return body[:n], err
 }
@@ -163,9 +156,12 @@
 // bodyRefusal returns the refusal for a body that could not be read.
 func bodyRefusal(err error) *refusal {
 	var large *http.MaxBytesError
+	var memory *BodyMemoryError
 	switch {
 	case errors.As(err, &large):
 		return &bodyTooLarge
+	case errors.As(err, &memory):
+		return &bodyMemoryFull
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &bodyTimeout
 	}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -15,16 +15,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// Buffer size and limits of a connection.
+// Buffer sizes of a connection.
 const (
 	readBufferBytes = 4096
 	// maxInlineBodyBytes is the largest body that Send writes itself. A longer
 	// one is written while the response is read, because an endpoint that
 	// responds early may stop reading the request.
 	maxInlineBodyBytes = 2048
-	// maxStrayResponses is how many responses to other requests are skipped
-	// before ReadResponse returns an error.
-	maxStrayResponses = 2
 )
 
 // Conn is one connection to an endpoint, used by one request at a time.
@@ -33,6 +30,7 @@
 	pool        *Pool
 	address     string
 	reader      *bufio.Reader
+	head        *headLimiter // what reader reads from
 	idleSince   time.Time
 	idleTimeout time.Duration
 	reused      bool
@@ -41,7 +39,8 @@
 }
 
 func newConn(netConn net.Conn, p *Pool, address string) *Conn {
-	return &Conn{netConn: netConn, pool: p, address: address, reader: bufio.NewReaderSize(netConn, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	limiter := &headLimiter{source: netConn}
+	return &Conn{netConn: netConn, pool: p, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), head: limiter, idleTimeout: defaultIdleTimeout}
 }
 
 // Close closes the connection and interrupts reads and writes on it.
@@ -171,20 +170,35 @@
 		if isOwn(response) {
 			return response, nil
 		}
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			break // the body extends to the end of the connection
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, &NoResponseError{Cause: err}
+		if err := c.skip(response); err != nil {
+			return nil, err
 		}
 	}
 	return nil, &StrayResponseError{}
 }
 
+// skip reads the body of a response to another request.
+func (c *Conn) skip(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.ContentLength > maxStrayBytes {
+		return &StrayResponseError{} // the body is too long, or extends to the end of the connection
+	}
+	read := func() error {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1))
+		if err == nil && n > maxStrayBytes {
+			return &StrayResponseError{}
+		}
+		return err
+	}
+	if err := within(c.netConn, maxStrayTime, read); err != nil {
+		return &NoResponseError{Cause: err}
+	}
+	return nil
+}
+
 // readHead reads the head of the next response, skipping interim (1xx) responses.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	for range maxInterimResponses + 1 {
+		response, err := c.readOneHead(method)
 		if err != nil {
 			return nil, err
 		}
@@ -192,6 +206,22 @@
 			return response, nil
 		}
 	}
+	return nil, &InterimResponsesError{}
+}
+
+// readOneHead waits for the first byte of a head and then reads the whole head,
+// within the limits of its size and of the time that it takes.
+func (c *Conn) readOneHead(method string) (response *http.Response, err error) {
+	c.head.begin()
+	defer c.head.end()
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	err = within(c.netConn, maxHeadTime, func() error {
+		response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		return err
+	})
+	return response, err
 }
 
 // Finish returns the connection to the pool after its response was read
