core/escrow, io/gateway: a home VM writes its allocation before it lends to another

Change: as for other borrowers, the lender raises its burst by a write first, unless the store is out.

--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -21,7 +21,7 @@
 	if a == nil || !a.limited || b.closing {
 		return 0
 	}
-	spare := a.available(now) - int64(a.tokenRate*lenderKeepTime.Seconds())
+	spare := a.available(now) - a.kept()
 	loan := min(max(need, min(want, spare/2)), spare)
 	if loan <= 0 {
 		return 0
@@ -31,6 +31,20 @@
 	return loan
 }
 
+// kept returns the tokens that a lender retains for its own requests.
+func (a *account) kept() int64 { return int64(a.tokenRate * lenderKeepTime.Seconds()) }
+
+// MayLendAfterWrite reports whether the VM has tokens to lend that it may not
+// spend yet, but may once it has written its allocation. When little of a budget
+// is left, the bursts of all VMs are smaller than a request.
+func (b *Budgets) MayLendAfterWrite(name string, need int64, now time.Time) bool {
+	a := b.accounts[name]
+	if a == nil || !a.limited || b.closing || !b.isHome {
+		return false
+	}
+	return a.available(now)-a.kept() < need && a.granted-a.committed()-a.kept() >= need
+}
+
 // AddLoan adds tokens that another VM lent to this one.
 func (b *Budgets) AddLoan(name string, tokens int64) {
 	a := b.account(name)
--- a/io/gateway/lend.go
+++ b/io/gateway/lend.go
@@ -62,8 +62,9 @@
 	waiting := false
 	defer func() { l.gateway.state.setWaiting(l.request.Account, l.request.Need, &waiting, false) }()
 	for {
-		response, changed := l.lendNow()
-		if changed == nil || !time.Now().Before(giveUpAt) {
+		final := !time.Now().Before(giveUpAt)
+		response, changed := l.lendNow(final)
+		if changed == nil || final {
 			return response
 		}
 		l.gateway.state.setWaiting(l.request.Account, l.request.Need, &waiting, true)
@@ -81,13 +82,17 @@
 }
 
 // lendNow lends tokens, or returns why it does not. changed is nil when the
-// response is final.
-func (l *lending) lendNow() (response loan, changed <-chan struct{}) {
+// response is final. An unfinished response to another home VM lends nothing as
+// long as the store may soon allow the whole need.
+func (l *lending) lendNow(final bool) (response loan, changed <-chan struct{}) {
 	st, budgets, now := l.gateway.state, l.group.budgets, time.Now()
 	account, need := l.request.Account, l.request.Need
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if l.request.FromHome {
+		if !final && !l.group.storeFailing.Load() && budgets.MayLendAfterWrite(account, need, now) {
+			return loan{}, l.group.updated
+		}
 		return loan{Lent: budgets.Lend(account, need, l.request.Want, now)}, nil
 	}
 	if lent := budgets.LendAsHome(account, need, l.request.Want, now); lent > 0 || need <= 0 {
