--- a/core/escrow/budgets.go
+++ b/core/escrow/budgets.go
@@ -26,14 +26,10 @@
 	// idleWeight is the weight of a VM without requests relative to the mean of
 	// all home VMs. It is not zero, as any VM may receive the next request.
 	idleWeight = 0.25
-	// minBurstShare and maxBurstShare bound the share of an account's unspent
-	// budget that all VMs together may spend before they write their allocations
-	// again. The part of it that a crashed VM may have spent is lost to the
-	// account. Within the bounds the burst is the spending in burstTime, which
-	// covers most of burstOnlyPeriod.
-	minBurstShare = 0.04
-	maxBurstShare = 0.1
-	burstTime     = 1500 * time.Millisecond
+	// burstShare is the share of an account's unspent budget that all VMs
+	// together may spend before they write their allocations again. The part of
+	// it that a crashed VM may have spent is lost to the account.
+	burstShare = 0.04
 	// deferredBurstTime is the time at the measured token rate whose spending
 	// becomes available at once after burstOnlyPeriod.
 	deferredBurstTime = time.Second
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -148,21 +148,13 @@
 // draw.
 func (a *account) drawsForWaiting() bool { return a.waiting > a.granted-a.committed() }
 
-// burst returns the tokens that the VM may spend before its next write: those of
-// burstTime at the measured rate, within its part of the bounds for all VMs.
-// unspent is the number of tokens that are free at any VM or undrawn.
-func (a *account) burst(homeVMs int, unspent int64) int64 {
-	part := float64(unspent) * a.weight(homeVMs)
-	return int64(min(max(a.tokenRate*burstTime.Seconds(), minBurstShare*part), maxBurstShare*part))
-}
-
 // allocation returns the account's allocation after a grant of more tokens.
 func (a *account) allocation(grant int64, homeVMs int) Allocation {
 	committed := a.committed()
 	granted := a.granted + grant
 	free := max(granted-committed, 0)
 	unspent := max(a.prepaid-a.drawnTotal, 0) + free + a.otherVMs.free
-	burst := a.burst(homeVMs, unspent) + a.waiting
+	burst := int64(burstShare*float64(unspent)*a.weight(homeVMs)) + a.waiting
 	fast := max(fastRateFactor*a.tokenRate, float64(free)/fastDrainTime.Seconds())
 	return Allocation{
 		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, TokenRate: int64(a.tokenRate),
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -163,7 +163,7 @@
 	}
 	b.group.notifyUpdate()
 	for _, c := range t.Totals {
-		b.gateway.log.Info("budget drawn", "account", c.Account, "applied", o.Applied, "tokens", c.Grant, "reclaimed", c.Reclaimed, "left", c.Undrawn,
+		b.gateway.log.Info("budget drawn", "account", c.Account, "applied", o.Applied, "tokens", c.Grant, "reclaimed", c.Reclaimed, "unaccounted", c.Total.Unaccounted, "left", c.Undrawn,
 			"spent", t.VMAllocations.Accounts[c.Account].Spent, "sequence", t.VMAllocations.Sequence)
 	}
 }
