--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -18,6 +18,7 @@
 	"hawthornspar/io/logline"
 	"hawthornspar/io/metrics"
 	"hawthornspar/io/settings"
+	"hawthornspar/io/storepath"
 	"hawthornspar/platform"
 )
 
@@ -76,11 +77,14 @@
 		return err
 	}
 	dialer := http1.NewDialer()
-	store := platform.NewClient(s.Store, s.Name, dialer)
 	logWriter := logline.NewWriter(os.Stdout)
 	defer logWriter.Flush(logFlushTimeout)
 	log := daemon.NewLogger(logWriter, s.Verbosity).WithValues("vm", s.Name)
-	g := gateway.New(gatewaySettings(s), store, platform.Headers{}, http1.NewPool(dialer), registry, gateway.WithLog(log))
+	path := storepath.New(platform.NewTransport(dialer), storepath.WithObserver(func(p storepath.Path) { log.Info("store path", "path", p.String()) }))
+	store := platform.NewClient(s.Store, s.Name, path)
+	relay := &storepath.Relay{Transport: path, Store: s.Store, Log: log}
+	g := gateway.New(gatewaySettings(s), store, platform.Headers{}, http1.NewPool(dialer), registry, gateway.WithLog(log), gateway.WithStoreRelay(relay))
+	path.SetPeers(g)
 	watcher.Log = log
 	watcher.Apply = func(next settings.Gateway) { g.Reload(gatewaySettings(next)) }
 	watcher.Watch(ctx)
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -95,6 +95,12 @@
 	return addresses[rand.IntN(len(addresses))], true
 }
 
+// StorePeer implements storepath.Peers with a random other VM.
+func (g *Gateway) StorePeer() (baseURL string, transport http.RoundTripper, ok bool) {
+	address, ok := g.borrower.randomPeer()
+	return "https://" + address, g.borrower.transport(), ok
+}
+
 // preconnect opens a connection to a home VM before the first request needs it.
 func (b *borrower) preconnect(v home.VM) {
 	b.mu.Lock()
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -17,6 +18,7 @@
 	"hawthornspar/core/home"
 	"hawthornspar/core/route"
 	"hawthornspar/io/certificate"
+	"hawthornspar/io/storepath"
 )
 
 // Requests for another VM's view of the fleet, which stands in for the store
@@ -54,13 +56,16 @@
 
 // servePeer handles requests of VMs that presented a certificate of the fleet.
 func (g *Gateway) servePeer(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case lendPath:
+	path := r.URL.Path
+	switch {
+	case path == lendPath:
 		g.serveLoan(w, r)
-	case repayPath:
+	case path == repayPath:
 		g.serveRepayment(w, r)
-	case fleetPath:
+	case path == fleetPath:
 		g.serveFleetView(w, r, nil)
+	case strings.HasPrefix(path, storepath.PathPrefix+"/") && g.storeRelay != nil:
+		g.storeRelay.ServeHTTP(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -54,6 +54,7 @@
 	configurationFailing atomic.Bool
 	authority            atomic.Pointer[certificate.Pair] // the fleet's certificate authority; nil until known
 	borrower             *borrower
+	storeRelay           http.Handler // nil for none
 	repaymentSequences   sequences
 	reloaded             atomic.Pointer[Reloadable]
 	bufferedBytes        atomic.Int64 // bytes of request bodies in memory
@@ -61,6 +62,7 @@
 	requests             atomic.Int64 // client requests since the last sample
 	congestion           congestion
 	uplink               uplink
+	processor            processor
 	linkBusy             atomic.Bool // the link is near its capacity
 	closeKeepAlive       atomic.Bool // kept-alive connections are closed because the link is busy
 	server               *server
@@ -73,6 +75,10 @@
 // WithLog sets the logger.
 func WithLog(l logr.Logger) Option { return func(g *Gateway) { g.log = l } }
 
+// WithStoreRelay sets the handler of requests that other VMs send to the store
+// through this one.
+func WithStoreRelay(h http.Handler) Option { return func(g *Gateway) { g.storeRelay = h } }
+
 // New returns a gateway that translates the headers of clients and endpoints
 // with d.
 func New(s Settings, st Store, d Dialect, p *http1.Pool, m *metrics.Registry, options ...Option) *Gateway {
@@ -121,6 +127,8 @@
 	go sweeper.loop(background)
 	traffic := &loadMonitor{gateway: g, meter: load.Meter{Capacity: g.settings.LinkBytesPerSecond}}
 	go traffic.loop(background)
+	processor := &processorMonitor{gateway: g}
+	go processor.loop(background)
 	<-ctx.Done()
 	g.shutdown(repayer)
 	return nil
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -30,6 +30,7 @@
 	endpointsFull          = refusal{status: http.StatusServiceUnavailable, reason: "endpointsFull", retryAfter: 300 * time.Millisecond}
 	retryBudgetExhausted   = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", retryAfter: 300 * time.Millisecond}
 	linkCongested          = refusal{status: http.StatusServiceUnavailable, reason: "linkFull", retryAfter: 300 * time.Millisecond, close: true}
+	processorOverloaded    = refusal{status: http.StatusServiceUnavailable, reason: "processorFull", retryAfter: 100 * time.Millisecond, close: true}
 	deadlineExceededUnsent = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
 	deadlineExceeded       = refusal{status: http.StatusGatewayTimeout, reason: "late"}
 	outcomeUnknown         = refusal{status: http.StatusBadGateway, reason: "outcomeUnknown"}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -64,6 +64,9 @@
 		return &unknownKey
 	}
 	x.setDeadline()
+	if x.gateway.processor.refusesFor(x.route.EffectivePriority(x.account)) {
+		return &processorOverloaded
+	}
 	x.service = x.route.PickService(x.gateway.state.random.Float64())
 	x.engine = engineOf(table, x.service)
 	x.properties = endpoints.Request{Service: x.service, PrefixBlocks: x.info.PrefixBlocks, PromptTokens: x.info.PromptTokens}
--- /dev/null
+++ b/io/storepath/relay.go
@@ -0,0 +1,60 @@
+package storepath
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-logr/logr"
+)
+
+// maxRequestBytes bounds the request of another VM.
+const maxRequestBytes = 2 << 20
+
+// Relay is an http.Handler that forwards the requests of other VMs to the store,
+// as long as this VM reaches it directly.
+type Relay struct {
+	Transport *Transport
+	Store     string // IP:port
+	Log       logr.Logger
+}
+
+// ServeHTTP implements http.Handler. It responds 502 when this VM cannot reach the
+// store.
+func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.Transport.directFailing() {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	response, err := l.forward(r)
+	if err != nil {
+		l.Log.V(1).Info("request of another VM not forwarded to the store", "from", r.RemoteAddr, "error", err.Error())
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	defer response.Body.Close()
+	w.WriteHeader(response.StatusCode)
+	if _, err := io.Copy(w, response.Body); err != nil {
+		l.Log.V(1).Info("response of the store not forwarded", "to", r.RemoteAddr, "error", err.Error())
+	}
+}
+
+// forward sends a request of another VM to the store.
+func (l *Relay) forward(r *http.Request) (*http.Response, error) {
+	target := &url.URL{Scheme: "http", Host: l.Store, Path: strings.TrimPrefix(r.URL.Path, PathPrefix), RawQuery: r.URL.RawQuery}
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, target.String(), io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = r.ContentLength
+	request.Header.Set("Content-Type", r.Header.Get("Content-Type"))
+	return l.Transport.direct.RoundTrip(request)
+}
+
+// directFailing reports whether the direct path failed when it was last used.
+func (t *Transport) directFailing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.failedAt.IsZero()
+}
--- /dev/null
+++ b/io/storepath/transport.go
@@ -0,0 +1,222 @@
+// Package storepath sends HTTP requests to the platform's store, directly or
+// through another VM. A network partition or an overloaded store may cut off
+// some VMs while others still reach it.
+package storepath
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// PathPrefix is the prefix of the URL paths under which a VM forwards the
+	// requests of other VMs to the store.
+	PathPrefix = "/store"
+	// directPause is how long requests take the path through another VM after a
+	// failure of the direct one, but for one that tries the direct path again.
+	directPause = time.Second
+	// relayPause is how long no request takes the path through another VM after
+	// that path failed. It is longer than the time between the requests of one VM.
+	relayPause = time.Second
+)
+
+// Peers finds other VMs.
+type Peers interface {
+	// StorePeer returns the base URL of a VM that may reach the store, and the
+	// transport to it; ok is false when none is known.
+	StorePeer() (baseURL string, transport http.RoundTripper, ok bool)
+}
+
+// Transport is an http.RoundTripper for requests to the store. Use New.
+type Transport struct {
+	direct   http.RoundTripper
+	observe  func(Path) // called when requests change from one path to the other
+	mu       sync.Mutex
+	peers    Peers     // nil while no other VM can be reached
+	path     Path      // of the last request that succeeded
+	failedAt time.Time // when the direct path last failed; zero while it works
+	retryAt  time.Time // when the direct path is tried again
+	relayAt  time.Time // from when the path through another VM may be used
+}
+
+// Path is a way to the store.
+type Path int
+
+// Ways to the store.
+const (
+	Direct  Path = iota
+	Relayed      // through another VM
+)
+
+// String implements fmt.Stringer.
+func (p Path) String() string { return [...]string{"direct", "relayed"}[p] }
+
+// Option configures a Transport.
+type Option func(*Transport)
+
+// WithObserver sets a function that is called when requests change to another
+// path.
+func WithObserver(observe func(Path)) Option { return func(t *Transport) { t.observe = observe } }
+
+// New returns a Transport that uses direct for the direct path.
+func New(direct http.RoundTripper, options ...Option) *Transport {
+	t := &Transport{direct: direct, observe: func(Path) {}}
+	for _, o := range options {
+		o(t)
+	}
+	return t
+}
+
+// SetPeers sets where other VMs are found.
+func (t *Transport) SetPeers(p Peers) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers = p
+}
+
+// CloseIdleConnections closes the idle connections of the direct path.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.direct.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// RoundTrip implements http.RoundTripper. A request that failed on the direct
+// path may have reached the store, so callers must bear that it arrives twice.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.relayFirst(time.Now()) {
+		if response, err := t.relay(r); err == nil {
+			return response, nil
+		}
+	}
+	request, err := again(r)
+	if err != nil {
+		return nil, err
+	}
+	response, err := t.direct.RoundTrip(request)
+	failed := err != nil || response.StatusCode == http.StatusServiceUnavailable
+	t.recordDirect(r.Context(), failed, time.Now())
+	if !failed || r.Context().Err() != nil || !t.mayRelay(time.Now()) {
+		return response, err
+	}
+	relayed, relayErr := t.relay(r)
+	if relayErr != nil {
+		return response, err
+	}
+	if response != nil {
+		response.Body.Close()
+	}
+	return relayed, nil
+}
+
+// again returns a copy of a request whose body can be sent.
+func again(r *http.Request) (*http.Request, error) {
+	request := r.Clone(r.Context())
+	if r.GetBody == nil {
+		return request, nil
+	}
+	body, err := r.GetBody()
+	request.Body = body
+	return request, errors.Wrap(err, "body")
+}
+
+// relayFirst reports whether a request takes the path through another VM without
+// a try of the direct one. One request in each directPause tries the direct path.
+func (t *Transport) relayFirst(now time.Time) bool {
+	if !t.mayRelay(now) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failedAt.IsZero() {
+		return false
+	}
+	if now.Before(t.retryAt) {
+		return true
+	}
+	t.retryAt = now.Add(directPause)
+	return false
+}
+
+// mayRelay reports whether the path through another VM may be used.
+func (t *Transport) mayRelay(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers != nil && !now.Before(t.relayAt)
+}
+
+// recordDirect records the result of a request on the direct path. One that its
+// caller has given up shows a failure only if its time was used up.
+func (t *Transport) recordDirect(ctx context.Context, failed bool, now time.Time) {
+	if failed && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !failed {
+		t.failedAt = time.Time{}
+		t.change(Direct)
+		return
+	}
+	t.failedAt = now
+	t.retryAt = now.Add(directPause)
+}
+
+// change records the path of a request that succeeded. The caller holds the lock.
+func (t *Transport) change(to Path) {
+	if t.path != to {
+		t.path = to
+		t.observe(to)
+	}
+}
+
+// relay sends a request through another VM.
+func (t *Transport) relay(r *http.Request) (*http.Response, error) {
+	t.mu.Lock()
+	peers := t.peers
+	t.mu.Unlock()
+	base, transport, ok := peers.StorePeer()
+	if !ok {
+		t.recordRelay(false)
+		return nil, errors.WithStack(&RelayError{})
+	}
+	request, err := again(r)
+	if err != nil {
+		return nil, err
+	}
+	url, err := r.URL.Parse(base + PathPrefix + r.URL.RequestURI())
+	if err != nil {
+		return nil, errors.Wrap(err, "address of a VM")
+	}
+	request.URL, request.Host = url, url.Host
+	response, err := transport.RoundTrip(request)
+	if err == nil && response.StatusCode == http.StatusBadGateway {
+		response.Body.Close()
+		err = errors.WithStack(&RelayError{})
+	}
+	if !errors.Is(r.Context().Err(), context.Canceled) {
+		t.recordRelay(err == nil)
+	}
+	return response, err
+}
+
+// recordRelay records the result of a request through another VM.
+func (t *Transport) recordRelay(succeeded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if succeeded {
+		t.change(Relayed)
+		return
+	}
+	t.relayAt = time.Now().Add(relayPause)
+}
+
+// RelayError reports that the store cannot be reached through another VM.
+type RelayError struct{}
+
+// Error implements error.
+func (*RelayError) Error() string { return "no other VM reaches the store" }
--- /dev/null
+++ b/io/storepath/transport_test.go
@@ -0,0 +1,156 @@
+package storepath
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "storepath")
+}
+
+// path is a way to the store that can be cut.
+type path struct {
+	store    *httptest.Server
+	cut      bool
+	status   int // of every response; 0 for the store's own
+	requests int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (p *path) RoundTrip(r *http.Request) (*http.Response, error) {
+	p.requests++
+	if p.cut {
+		return nil, errors.New("cut")
+	}
+	if p.status != 0 {
+		return &http.Response{StatusCode: p.status, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// vm is one of two VMs: its own path to the store, and the server for the other.
+type vm struct {
+	direct    *path
+	transport *Transport
+	server    *httptest.Server
+}
+
+func newVM(store *httptest.Server) *vm {
+	v := &vm{direct: &path{store: store}}
+	v.transport = New(v.direct)
+	v.server = httptest.NewServer(&Relay{Transport: v.transport, Store: strings.TrimPrefix(store.URL, "http://"), Log: logr.Discard()})
+	DeferCleanup(v.server.Close)
+	return v
+}
+
+// only makes one VM the only one that is known.
+type only struct{ peer *vm }
+
+// StorePeer implements Peers.
+func (o only) StorePeer() (string, http.RoundTripper, bool) {
+	if o.peer == nil {
+		return "", nil, false
+	}
+	return o.peer.server.URL, http.DefaultTransport, true
+}
+
+// post sends a request and returns the store's response, empty if it failed.
+func (v *vm) post(url string) string {
+	request, err := http.NewRequest(http.MethodPost, url+"/rows?table=a", bytes.NewReader([]byte("body")))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := v.transport.RoundTrip(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
+
+var _ = Describe("Transport", func() {
+	var store *httptest.Server
+	var own, other *vm
+	BeforeEach(func() {
+		store = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			raw, _ := io.ReadAll(r.Body) // the test compares what was read
+			_, _ = io.WriteString(w, r.Method+" "+r.URL.RequestURI()+" "+string(raw))
+		}))
+		DeferCleanup(store.Close)
+		own, other = newVM(store), newVM(store)
+		own.transport.SetPeers(only{other})
+	})
+	const response = "POST /rows?table=a body"
+
+	It("uses the direct path while it works", func() {
+		Expect(own.post(store.URL)).To(Equal(response))
+		Expect(other.direct.requests).To(BeZero())
+	})
+
+	for _, t := range []struct {
+		name string
+		fail func(*path)
+	}{
+		{"is cut", func(p *path) { p.cut = true }},
+		{"is refused by a store that is busy", func(p *path) { p.status = http.StatusServiceUnavailable }},
+	} {
+		It("reaches the store through another VM while the direct path "+t.name, func() {
+			t.fail(own.direct)
+			for range 5 {
+				Expect(own.post(store.URL)).To(Equal(response))
+			}
+			Expect(own.direct.requests).To(Equal(1), "the direct path is not tried with each request")
+		})
+	}
+
+	It("returns to the direct path", func() {
+		own.direct.cut = true
+		Expect(own.post(store.URL)).To(Equal(response))
+		own.direct.cut = false
+		time.Sleep(directPause)
+		before := other.direct.requests
+		for range 3 {
+			Expect(own.post(store.URL)).To(Equal(response))
+		}
+		Expect(other.direct.requests).To(Equal(before))
+	})
+
+	It("asks other VMs seldom while none of them reaches the store", func() {
+		own.direct.cut, other.direct.cut = true, true
+		for range 20 {
+			Expect(own.post(store.URL)).To(BeEmpty())
+		}
+		Expect(other.direct.requests).To(BeNumerically("<=", 1))
+	})
+
+	It("never passes a request on from one VM to the next", func() {
+		third := newVM(store)
+		other.transport.SetPeers(only{third})
+		own.direct.cut, other.direct.cut = true, true
+		Expect(own.post(store.URL)).To(BeEmpty())
+		Expect(third.direct.requests).To(BeZero())
+	})
+
+	It("does not take a request that its caller gave up for a failure", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, store.URL, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = own.transport.RoundTrip(request)
+		Expect(err).To(HaveOccurred())
+		Expect(own.transport.directFailing()).To(BeFalse())
+	})
+})
