--- /dev/null
+++ b/core/load/gate_test.go
@@ -0,0 +1,120 @@
+package load
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// crowdedLink simulates the link of a VM whose requests arrive on new
+// connections. Bytes beyond its capacity wait.
+type crowdedLink struct {
+	capacity float64 // bytes per second
+	gate     Gate
+	rejects  bool
+	waiting  float64 // bytes
+	passed   float64 // bytes since the gate's last sample
+	sampled  time.Duration
+	longest  time.Duration
+}
+
+const gateSamplePeriod = 25 * time.Millisecond
+
+// advance lets bytes pass for the time of one step.
+func (l *crowdedLink) advance(now, step time.Duration) {
+	passed := min(l.waiting, l.capacity*step.Seconds())
+	l.waiting -= passed
+	l.passed += passed
+	l.longest = max(l.longest, time.Duration(l.waiting/l.capacity*float64(time.Second)))
+	if now-l.sampled >= gateSamplePeriod {
+		l.rejects = l.gate.Observe(int64(l.passed), false, time.Unix(1_000, 0).Add(now))
+		l.sampled, l.passed = now, 0
+	}
+}
+
+// playCrowd sends the requests of one account to the first of two VMs, and those
+// whose connections it rejects to the second. It returns the share of requests
+// that both reject, and the longest wait in each link.
+func playCrowd(gated bool, bytesPerSecond float64, duration time.Duration) (lost float64, first, second time.Duration) {
+	const (
+		step         = time.Millisecond
+		requestBytes = 4_600
+		capacity     = 2_500_000
+	)
+	a := &crowdedLink{capacity: capacity, gate: Gate{Capacity: capacity}}
+	b := &crowdedLink{capacity: capacity, gate: Gate{Capacity: capacity}}
+	due, total, rejected := 0.0, 0, 0
+	for now := step; now < duration; now += step {
+		for due += bytesPerSecond * step.Seconds(); due >= requestBytes; due -= requestBytes {
+			total++
+			switch {
+			case !gated || !a.rejects:
+				a.waiting += requestBytes
+			case !b.rejects:
+				b.waiting += requestBytes
+			default:
+				rejected++
+			}
+		}
+		a.advance(now, step)
+		b.advance(now, step)
+	}
+	return float64(rejected) / float64(total), a.longest, b.longest
+}
+
+var _ = Describe("A VM that gets all connections of one large account", func() {
+	const patience = 300 * time.Millisecond // objective of the shortest requests
+
+	It("makes requests wait for seconds in its link if it accepts all of them", func() {
+		_, first, _ := playCrowd(false, 4_600_000, 5*time.Second)
+		Expect(first).To(BeNumerically(">", 2*time.Second))
+	})
+
+	for _, t := range []struct {
+		name           string
+		bytesPerSecond float64
+		maxLost        float64
+	}{
+		{"that fit into its link", 1_700_000, 0},
+		{"that are nearly twice what its link carries", 4_400_000, 0.3},
+		{"that are more than its link carries", 3_000_000, 0.02},
+	} {
+		It("rejects part of the connections, so that no link is full: requests "+t.name, func() {
+			lost, first, second := playCrowd(true, t.bytesPerSecond, 5*time.Second)
+			Expect(lost).To(BeNumerically("<=", t.maxLost))
+			Expect(first).To(BeNumerically("<", patience))
+			Expect(second).To(BeNumerically("<", patience))
+		})
+	}
+})
+
+var _ = Describe("Gate", func() {
+	It("accepts connections again and again however long the overload lasts", func() {
+		g := Gate{Capacity: 2_500_000}
+		now := time.Unix(1_000, 0)
+		rejectedSince, longest := time.Time{}, time.Duration(0)
+		for range 400 {
+			now = now.Add(gateSamplePeriod)
+			if !g.Observe(125_000, true, now) {
+				rejectedSince = time.Time{}
+				continue
+			}
+			if rejectedSince.IsZero() {
+				rejectedSince = now
+			}
+			longest = max(longest, now.Sub(rejectedSince))
+		}
+		Expect(longest).To(BeNumerically(">", 0))
+		Expect(longest).To(BeNumerically("<=", maxRejectTime))
+	})
+
+	It("rejects nothing on a link without a known capacity", func() {
+		var g Gate
+		now := time.Unix(1_000, 0)
+		for range 100 {
+			now = now.Add(gateSamplePeriod)
+			Expect(g.Observe(10_000_000, false, now)).To(BeFalse())
+		}
+	})
+})
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -58,7 +58,7 @@
 	repaymentSequences   sequences
 	reloaded             atomic.Pointer[Reloadable]
 	bufferedBytes        atomic.Int64 // bytes of request bodies in memory
-	trafficBytes         atomic.Int64 // bytes of requests and responses since the last sample
+	trafficBytes         atomic.Int64 // bytes of requests and responses so far
 	requests             atomic.Int64 // client requests since the last sample
 	congestion           congestion
 	uplink               uplink
@@ -127,6 +127,8 @@
 	go sweeper.loop(background)
 	traffic := &loadMonitor{gateway: g, meter: load.Meter{Capacity: g.settings.LinkBytesPerSecond}}
 	go traffic.loop(background)
+	gate := &gateMonitor{gateway: g, gate: load.Gate{Capacity: g.settings.LinkBytesPerSecond}}
+	go gate.loop(background)
 	processor := &processorMonitor{gateway: g}
 	go processor.loop(background)
 	<-ctx.Done()
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -29,6 +29,7 @@
 	gateway  *Gateway
 	meter    load.Meter
 	requests load.Rate
+	counted  int64 // trafficBytes at the last sample
 }
 
 func (l *loadMonitor) loop(ctx context.Context) {
@@ -36,7 +37,10 @@
 		now := time.Now()
 		rate := l.requests.Observe(l.gateway.requests.Swap(0), now)
 		l.gateway.state.setRequestRate(rate)
-		if l.meter.Observe(l.gateway.trafficBytes.Swap(0), now) {
+		total := l.gateway.trafficBytes.Load()
+		bytes := total - l.counted
+		l.counted = total
+		if l.meter.Observe(bytes, now) {
 			l.gateway.metrics.Increment("link", linkState(l.meter.Busy()))
 			l.gateway.log.Info("link", "busy", l.meter.Busy(), "bytesPerSecond", int64(l.meter.Rate()), "capacity", int64(l.meter.Capacity))
 		}
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -30,6 +30,7 @@
 	limits      route.Limits
 	current     *connListener
 	httpServers []*http.Server
+	acceptor    *acceptor // nil until listen is called
 }
 
 // connListener is a net.Listener that returns connections which the acceptor
@@ -73,8 +74,8 @@
 		return errors.Wrap(err, "listen")
 	}
 	s.setLimits(route.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}, front.Addr())
-	a := &acceptor{server: s, listener: front}
-	go a.loop()
+	s.acceptor = newAcceptor(s, front)
+	go s.acceptor.loop()
 	return s.listenInternal()
 }
 
@@ -168,30 +169,3 @@
 	}
 	return lastErr
 }
-
-// acceptor passes accepted connections to the current listener.
-type acceptor struct {
-	server   *server
-	listener net.Listener
-}
-
-// acceptPause follows a failed accept, mostly caused by a lack of file
-// descriptors.
-const acceptPause = 20 * time.Millisecond
-
-func (a *acceptor) loop() {
-	for {
-		c, err := a.listener.Accept()
-		if err != nil {
-			a.server.gateway.log.Info("accept failed", "error", err.Error())
-			time.Sleep(acceptPause)
-			continue
-		}
-		l := a.server.currentListener()
-		select {
-		case l.conns <- c:
-		case <-l.closed:
-			c.Close()
-		}
-	}
-}
