--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -120,11 +121,16 @@
 	h.serve(w, r, raw, submission, session)
 }
 
+// validIdempotencyKey reports whether a key can be stored and sent to other VMs.
+func validIdempotencyKey(key string) bool {
+	return len(key) <= maxIdempotencyKeyBytes && utf8.ValidString(key) && !strings.ContainsAny(key, "/\x00")
+}
+
 // serve submits a request to the core and writes its response.
 func (h *requestHandler) serve(w http.ResponseWriter, r *http.Request, raw []byte, submission entity.Submission, session *Session) {
 	key := strings.TrimSpace(r.Header.Get(HeaderIdempotencyKey))
-	if len(key) > maxIdempotencyKeyBytes || strings.ContainsAny(key, "/\x00") {
-		writeInputError(w, &InputError{"badKey", "Idempotency-Key must have at most 200 bytes and no slash", http.StatusBadRequest})
+	if !validIdempotencyKey(key) {
+		writeInputError(w, &InputError{"badKey", "Idempotency-Key must have at most 200 bytes, all valid UTF-8, and no slash", http.StatusBadRequest})
 		return
 	}
 	if key == "" {
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -37,3 +39,18 @@
 		Expect(s.markDelivered(1, generation)).To(BeFalse())
 	})
 })
+
+var _ = Describe("validIdempotencyKey", func() {
+	for _, t := range []struct {
+		name, key string
+		valid     bool
+	}{
+		{"a usual key", "lookup-7", true},
+		{"letters of other scripts", "zamówienie-7", true},
+		{"bytes that are not UTF-8", "lookup-\xff\xfe", false},
+		{"a slash", "lookup/7", false},
+		{"more than 200 bytes", strings.Repeat("x", 201), false},
+	} {
+		It("is right for "+t.name, func() { Expect(validIdempotencyKey(t.key)).To(Equal(t.valid)) })
+	}
+})
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -142,6 +142,10 @@
 		http.Error(w, "malformed change: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if request.GetChange() == nil {
+		http.Error(w, "malformed change: the field change is missing", http.StatusBadRequest)
+		return
+	}
 	change := protobuf.ChangeFromWire(request.GetChange())
 	if problem := Check(&request, change.Item); problem != nil {
 		http.Error(w, problem.Error(), http.StatusBadRequest)
