io/gateway: a VM that starts takes the newest view of all its seeds; no stampede at starts

- While the store is out, a VM that has just started asked one seed at random, which may lag behind the others: a withdrawn key or an endpoint that had left could come back.
Now it asks all and begins with the newest; an older registry never replaces a newer one (io/gateway/fleet_test.go).
- When all VMs start at once: the fleet's authority is read before it is written, the first registrations are spread over the time that the store needs for them, and a request to another VM has 600 ms if it opens the connection (150 ms).

--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -22,9 +22,13 @@
 	// several of its usual response times, before other home VMs get a
 	// request.
 	storeHeadStart = 40 * time.Millisecond
-	// peerRequestTimeout bounds a request to another VM: a handshake, the other
-	// VM's wait for the store and a response inside a region.
+	// peerRequestTimeout bounds a request to another VM: its wait for the store
+	// and a response inside a region.
 	peerRequestTimeout = 150 * time.Millisecond
+	// firstRequestTimeout bounds a request that opens the connection. When many
+	// VMs start at once, the handshakes of all of them take their time, and those
+	// that are given up are begun again.
+	firstRequestTimeout = 600 * time.Millisecond
 	// maxLenders bounds the VMs that get a loan request for one client request.
 	maxLenders = home.HomesPerGroup
 	// failedPeerPause is how long a VM gets no requests after one has failed.
@@ -199,7 +203,11 @@
 	if err != nil {
 		return errors.Wrap(err, "message")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerRequestTimeout)
+	timeout := peerRequestTimeout
+	if !node.Connected(v.Address) {
+		timeout = firstRequestTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+v.Address+path, bytes.NewReader(raw))
 	if err != nil {
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -148,6 +150,9 @@
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	sent := time.Now()
+	if p.gateway.state.routes() == nil {
+		p.gateway.adoptNewest(p.fetchSeeds(ctx))
+	}
 	view, from, err := p.fetchAny(ctx)
 	if err != nil {
 		p.gateway.log.V(1).Info("fleet view not received", "from", from, "error", err.Error())
@@ -157,6 +162,67 @@
 	p.gateway.adopt(view, from)
 }
 
+// receivedView is the view of one VM.
+type receivedView struct {
+	fleetView
+	from string // address of the VM
+}
+
+// fetchSeeds requests the views of all seeds.
+func (p *fleetPoller) fetchSeeds(ctx context.Context) []receivedView {
+	seeds := p.gateway.reloaded.Load().Seeds
+	results := make(chan *seedRequest, len(seeds))
+	for _, seed := range seeds {
+		r := &seedRequest{poller: p, seed: seed, results: results}
+		go r.run(ctx)
+	}
+	var views []receivedView
+	for range seeds {
+		r := <-results
+		if r.err != nil {
+			p.gateway.log.V(1).Info("fleet view not received", "from", r.seed, "error", r.err.Error())
+			continue
+		}
+		views = append(views, receivedView{r.view, r.seed})
+	}
+	return views
+}
+
+// seedRequest requests the view of one seed.
+type seedRequest struct {
+	poller  *fleetPoller
+	seed    string
+	view    fleetView
+	err     error
+	results chan<- *seedRequest
+}
+
+func (r *seedRequest) run(ctx context.Context) {
+	r.view, r.err = r.poller.fetch(ctx, "http://"+r.seed, r.poller.client)
+	r.results <- r
+}
+
+// adoptNewest takes over views, the newest configuration first: a VM that has just
+// started must not begin with an older one than it can know of, as that may have
+// API keys that were withdrawn since.
+func (g *Gateway) adoptNewest(views []receivedView) {
+	slices.SortFunc(views, func(a, b receivedView) int {
+		return cmp.Or(cmp.Compare(b.configurationVersion(), a.configurationVersion()), cmp.Compare(b.RegistryVersion, a.RegistryVersion))
+	})
+	for _, v := range views {
+		g.adopt(v.fleetView, v.from)
+	}
+}
+
+// configurationVersion returns the version of the configuration in the view; 0 for
+// none.
+func (v fleetView) configurationVersion() int64 {
+	if v.Configuration == nil {
+		return 0
+	}
+	return v.Configuration.Version
+}
+
 // fetchAny requests the view of a peer when the transport between VMs is open,
 // else that of a seed. It also returns the VM's address.
 func (p *fleetPoller) fetchAny(ctx context.Context) (fleetView, string, error) {
@@ -214,7 +280,7 @@
 		g.log.Info("configuration from a VM", "from", from, "version", v.Configuration.Version)
 		g.configure(v.Configuration)
 	}
-	if v.Endpoints != nil {
+	if v.Endpoints != nil && v.RegistryVersion > g.state.versions().Registry {
 		g.log.Info("registry from a VM", "from", from, "version", v.RegistryVersion, "endpoints", len(v.Endpoints))
 		g.replaceRegistry(endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, time.Now().Add(expiryGrace))
 	}
--- a/io/gateway/fleet_test.go
+++ b/io/gateway/fleet_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/route"
 	"hawthornspar/io/metrics"
 )
 
@@ -58,3 +59,29 @@
 		Expect(g.overloaded()).To(BeTrue())
 	})
 })
+
+var _ = Describe("adoptNewest, on a VM that has just started while the store is out", func() {
+	var g *Gateway
+	BeforeEach(func() {
+		g = newTestGateway(Settings{Name: "vm"})
+		g.server.current = &connListener{} // with the limits of the configurations
+	})
+	view := func(version, registry int64, endpoint string) receivedView {
+		return receivedView{from: "seed", fleetView: fleetView{
+			Configuration: &route.Document{Version: version}, RegistryVersion: registry,
+			Endpoints: []endpoints.Registration{{ID: endpoint, Service: "models", Address: "10.0.0.1:80"}},
+		}}
+	}
+
+	It("begins with the newest configuration and registry that a seed has", func() {
+		g.adoptNewest([]receivedView{view(4, 40, "left"), view(7, 70, "there"), view(5, 60, "left")})
+		Expect(g.state.routes().Document.Version).To(Equal(int64(7)))
+		Expect(g.state.endpoints.IDs()).To(ConsistOf("there"))
+	})
+
+	It("does not replace a registry by an older one", func() {
+		g.adoptNewest([]receivedView{view(7, 70, "there")})
+		g.adoptNewest([]receivedView{view(7, 60, "left")})
+		Expect(g.state.endpoints.IDs()).To(ConsistOf("there"))
+	})
+})
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 	// firstStartPause is how long a VM that was never registered waits for the
 	// others that start with it before it takes a share of the budgets.
 	firstStartPause = time.Second
+	// registrationSpread is the time over which VMs that start at once spread
+	// their first registrations, as a multiple of the time in which the store
+	// can apply all of them.
+	registrationSpread = 1.5
 	// maxHomesWait bounds how long a VM is not ready because it cannot learn
 	// which VMs are home VMs.
 	maxHomesWait = 3 * time.Second
@@ -61,6 +66,9 @@
 	m.storeMs, m.readAt = storeMs, time.Now()
 	m.gateway.updateMembers(home.Alive(vms), sourceStore)
 	if time.Since(m.lastRegistered) >= registerPeriod {
+		if m.lastRegistered.IsZero() {
+			sleep(ctx, m.spread(len(vms)))
+		}
 		if err := m.register(ctx); err != nil {
 			return 0, err
 		}
@@ -71,6 +79,14 @@
 	return max(minMemberReadPeriod, jitter(time.Duration(len(vms))*memberReadPeriodPerVM)), nil
 }
 
+// spread returns a random delay of this VM's first registration, as the other VMs
+// may start at the same time.
+func (m *memberSyncer) spread(vms int) time.Duration {
+	writesPerSecond := m.gateway.reloaded.Load().StoreWritesPerSecond
+	seconds := registrationSpread * float64(vms) / max(writesPerSecond, 1)
+	return time.Duration(rand.Float64() * seconds * float64(time.Second))
+}
+
 // register writes this VM's registration to the store.
 func (m *memberSyncer) register(ctx context.Context) error {
 	s := m.gateway.settings
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -106,6 +106,15 @@
 	return conn, nil
 }
 
+// Connected reports whether a connection for forwarded requests to an address is
+// open.
+func (n *Node) Connected(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	conn := n.forwardConns[address]
+	return conn != nil && conn.Context().Err() == nil
+}
+
 // CloseConn closes the connection for forwarded requests to an address. A VM
 // replaced without notice leaves its peers' connections open, and requests on
 // them get no response until the idle timeout. The next request opens a new
