core/endpoints: prefill rate and cost of a running request are learnt; Retry-After

- Retry-After of a short budget is the time at which it is there, if that is known; of a refusal that concerns one VM 50 ms, as the client's next attempt goes to another VM; all vary by a quarter, so that clients refused together do not return together.

--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -9,12 +9,6 @@
 // Parameters of the estimated time to first chunk, by which an endpoint is
 // chosen.
 const (
-	// prefillTokensPerMs is the number of prompt tokens that an engine prefills
-	// in a millisecond. It has the order of magnitude of current accelerators.
-	prefillTokensPerMs = 100.0
-	// runningRequestMs is added for each of this VM's requests that run at the
-	// endpoint.
-	runningRequestMs = 2.0
 	// crossDomainMs is added for an endpoint in another failure domain, so that
 	// traffic stays inside a failure domain when estimates are close.
 	crossDomainMs = 3.0
@@ -50,8 +44,24 @@
 // a request, disregarding those in attempted. domain is the VM's own failure
 // domain. Choose returns nil when no other endpoint accepts new requests.
 func (t *Table) Choose(r Request, attempted map[string]bool, domain string, random Random, now time.Time) *Endpoint {
+	e, _ := t.choose(r, attempted, domain, random, now)
+	return e
+}
+
+// StartAttempt chooses an endpoint as Choose does and starts an attempt there. It
+// returns nil when there is no endpoint.
+func (t *Table) StartAttempt(r Request, attempted map[string]bool, domain string, random Random, now time.Time) *Attempt {
+	e, preferred := t.choose(r, attempted, domain, random, now)
+	if e == nil {
+		return nil
+	}
+	return e.startAttempt(r, preferred, now)
+}
+
+// choose implements Choose. It also reports whether the endpoint is the preferred
+// one of the request's prefix.
+func (t *Table) choose(r Request, attempted map[string]bool, domain string, random Random, now time.Time) (best *Endpoint, isPreferred bool) {
 	candidates := t.eligible(r.Service, attempted, now)
-	var best *Endpoint
 	bestCost := 0.0
 	preferred := preferredEndpoint(r, candidates)
 	meanMs := meanFirstChunkMs(candidates)
@@ -61,7 +71,7 @@
 			best, bestCost = e, cost
 		}
 	}
-	return best
+	return best, best != nil && best == preferred
 }
 
 // eligible returns the endpoints of a service that accept new requests and are
@@ -109,7 +119,7 @@
 // response, in milliseconds.
 func (e *Endpoint) estimateMs(r Request, preferred bool, domain string, now time.Time) float64 {
 	tokens := r.PromptTokens - e.cachedTokens(r, preferred, now)
-	cost := float64(e.prefillTokens+tokens)/prefillTokensPerMs + runningRequestMs*float64(e.running)
+	cost := float64(e.prefillTokens+tokens)/e.model.tokensPerMs() + e.model.runningRequestMs(e.Slots)*float64(e.running)
 	if e.Domain != domain {
 		cost += crossDomainMs
 	}
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -28,6 +28,7 @@
 // them.
 type Endpoint struct {
 	Registration
+	model               *model               // of the endpoint's service
 	running             int                  // this VM's requests that have not ended
 	prefillTokens       int64                // prompt tokens of this VM's requests that have no first chunk yet
 	consecutiveFailures int                  // since the last attempt that ended as Succeeded
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -46,7 +46,13 @@
 
 // StartAttempt starts an attempt and adds it to the endpoint's load.
 func (e *Endpoint) StartAttempt(r Request, now time.Time) *Attempt {
-	tokens := r.PromptTokens - e.cachedTokens(r, false, now)
+	return e.startAttempt(r, false, now)
+}
+
+// startAttempt implements StartAttempt. preferred tells whether the endpoint is
+// the preferred one of the request's prefix.
+func (e *Endpoint) startAttempt(r Request, preferred bool, now time.Time) *Attempt {
+	tokens := r.PromptTokens - e.cachedTokens(r, preferred, now)
 	a := &Attempt{Endpoint: e, RunningBefore: e.running, PrefillTokens: tokens, startedAt: now}
 	e.running++
 	e.prefillTokens += tokens
@@ -66,7 +72,9 @@
 		return
 	}
 	a.endPrefill()
-	a.Endpoint.firstChunkMs.add(float64(now.Sub(a.startedAt).Milliseconds()), now)
+	ms := float64(now.Sub(a.startedAt).Milliseconds())
+	a.Endpoint.firstChunkMs.add(ms, now)
+	a.Endpoint.model.observe(float64(a.PrefillTokens), ms)
 }
 
 // endPrefill removes the prompt from the endpoint's load, whether it was
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -11,11 +11,12 @@
 type Table struct {
 	byID      map[string]*Endpoint
 	byService map[string][]*Endpoint
+	models    map[string]*model // by service; kept while the service has no endpoints
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}}
+	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{}}
 }
 
 // Change is the effect of a registration on the table.
@@ -62,7 +63,10 @@
 }
 
 func (t *Table) add(r Registration) {
-	e := &Endpoint{Registration: r, blockLastUsed: map[string]time.Time{}}
+	if t.models[r.Service] == nil {
+		t.models[r.Service] = newModel()
+	}
+	e := &Endpoint{Registration: r, model: t.models[r.Service], blockLastUsed: map[string]time.Time{}}
 	t.byID[r.ID] = e
 	t.byService[r.Service] = append(t.byService[r.Service], e)
 }
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -14,23 +14,32 @@
 	close      bool          // the connection cannot be used again
 }
 
+const (
+	// otherVMRetryAfter follows a refusal that concerns this VM only: the client's
+	// next attempt goes to another VM.
+	otherVMRetryAfter = 50 * time.Millisecond
+	// retryAfterSpread is the share by which a Retry-After varies either way, so
+	// that clients that were refused together do not return together.
+	retryAfterSpread = 0.25
+)
+
 // Refusals. Statuses 429 and 503 are used only if no endpoint can have run the
 // request.
 var (
-	noConfiguration        = refusal{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: time.Second}
+	noConfiguration        = refusal{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: otherVMRetryAfter}
 	noRoute                = refusal{status: http.StatusNotFound, reason: "noRoute"}
 	unknownKey             = refusal{status: http.StatusUnauthorized, reason: "unknownKey"}
 	bodyTooLarge           = refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge", close: true}
 	bodyTimeout            = refusal{status: http.StatusRequestTimeout, reason: "bodyTimeout", close: true}
 	unreadableBody         = refusal{status: http.StatusBadRequest, reason: "badBody", close: true}
-	bodyMemoryFull         = refusal{status: http.StatusServiceUnavailable, reason: "bodiesFull", retryAfter: time.Second, close: true}
+	bodyMemoryFull         = refusal{status: http.StatusServiceUnavailable, reason: "bodiesFull", retryAfter: otherVMRetryAfter, close: true}
 	budgetExhausted        = refusal{status: http.StatusPaymentRequired, reason: "budgetExhausted"}
 	budgetShort            = refusal{status: http.StatusTooManyRequests, reason: "budgetShort", retryAfter: time.Second}
 	noEndpoint             = refusal{status: http.StatusServiceUnavailable, reason: "noEndpoint", retryAfter: 500 * time.Millisecond}
 	endpointsFull          = refusal{status: http.StatusServiceUnavailable, reason: "endpointsFull", retryAfter: 300 * time.Millisecond}
 	retryBudgetExhausted   = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", retryAfter: 300 * time.Millisecond}
-	linkCongested          = refusal{status: http.StatusServiceUnavailable, reason: "linkFull", retryAfter: 300 * time.Millisecond, close: true}
-	processorOverloaded    = refusal{status: http.StatusServiceUnavailable, reason: "processorFull", retryAfter: 100 * time.Millisecond, close: true}
+	linkCongested          = refusal{status: http.StatusServiceUnavailable, reason: "linkFull", retryAfter: otherVMRetryAfter, close: true}
+	processorOverloaded    = refusal{status: http.StatusServiceUnavailable, reason: "processorFull", retryAfter: otherVMRetryAfter, close: true}
 	deadlineExceededUnsent = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
 	deadlineExceeded       = refusal{status: http.StatusGatewayTimeout, reason: "late"}
 	outcomeUnknown         = refusal{status: http.StatusBadGateway, reason: "outcomeUnknown"}
@@ -58,11 +67,17 @@
 	clientDisconnected = refusal{reason: "clientLeft"}
 )
 
+// spreadRetryAfter varies a Retry-After by retryAfterSpread. random is a uniform
+// number in [0, 1).
+func spreadRetryAfter(d time.Duration, random float64) time.Duration {
+	return time.Duration(float64(d) * (1 + retryAfterSpread*(2*random-1)))
+}
+
 // refuse writes a refusal. timeLeft is the time until the request's deadline; 0
 // when unknown.
 func (g *Gateway) refuse(w http.ResponseWriter, id string, r refusal, timeLeft time.Duration) {
 	g.metrics.Increment("refusals", r.reason)
-	retryAfter := r.retryAfter
+	retryAfter := spreadRetryAfter(r.retryAfter, g.state.random.Float64())
 	if timeLeft > 0 {
 		retryAfter = min(retryAfter, timeLeft/time.Duration(retryAfterDivisor))
 	}
--- a/io/gateway/reserve.go
+++ b/io/gateway/reserve.go
@@ -58,8 +58,8 @@
 		next, allowed := x.allowed(tokens, now)
 		if !allowed && (refused != nil || !now.Before(giveUpAt)) {
 			x.gateway.logShortfall(x.info.ID, x.account.Name, tokens)
-			if refused == nil {
-				refused = &budgetShort
+			if refused == nil || refused == &budgetShort {
+				refused = shortUntil(next, now)
 			}
 			return refused
 		}
@@ -77,20 +77,42 @@
 	}
 }
 
+// minBudgetRetryAfter is the least time after which another attempt finds more
+// budget, about that of a write to the store.
+const minBudgetRetryAfter = 100 * time.Millisecond
+
+// shortUntil returns the refusal of a request for which there is budget at the
+// given time; zero when that is unknown.
+func shortUntil(at, now time.Time) *refusal {
+	short := budgetShort
+	if !at.IsZero() {
+		short.retryAfter = max(at.Sub(now), minBudgetRetryAfter)
+	}
+	return &short
+}
+
 // allowed returns when the limit on the spending rate of this VM, or of a home
-// VM, allows the request, and reports whether that is early enough to be worth
-// the wait.
+// VM, allows the request, zero when that is unknown, and reports whether that is
+// early enough to be worth the wait.
 func (x *exchange) allowed(tokens int64, now time.Time) (time.Time, bool) {
 	s := x.gateway.state
 	latest := x.arrived.Add(x.allowanceWait())
 	s.mu.Lock()
 	wait, covered := s.group(x.account.Name).budgets.AvailableIn(x.account.Name, tokens, now)
 	s.mu.Unlock()
-	if at := now.Add(wait + time.Millisecond); covered && at.Before(latest) {
+	at := now.Add(wait + time.Millisecond)
+	if covered && at.Before(latest) {
 		return at, true
 	}
 	recent, ok := x.gateway.borrower.recentShortfall(x.account.Name, tokens)
-	return recent.retryAt, ok && recent.expected && recent.retryAt.Before(latest)
+	expected := ok && recent.expected
+	switch {
+	case expected && (!covered || recent.retryAt.Before(at)):
+		return recent.retryAt, recent.retryAt.Before(latest)
+	case covered:
+		return at, false
+	}
+	return time.Time{}, false
 }
 
 // waitForChange returns when changed is closed or at is reached. It returns
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -84,11 +84,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.endpoints.Choose(r, attempted, s.failureDomain, s.random, now)
-	if e == nil {
+	attempt := s.endpoints.StartAttempt(r, attempted, s.failureDomain, s.random, now)
+	if attempt == nil {
 		return nil
 	}
-	attempt := e.StartAttempt(r, now)
 	attempt.RegistryVersion = s.registryVersion
 	return attempt
 }
