core/escrow, core/load: loans go round the home VMs; a VM rejects connections above 90% of its link

Change: a lender that lends less than is wanted is followed by the next one (escrow.Rotation); the gate acts at 90%, readiness at 85%.

--- a/core/load/gate.go
+++ b/core/load/gate.go
@@ -5,8 +5,8 @@
 const (
 	// rejectAboveShare and acceptBelowShare are the shares of the link's capacity
 	// above which a VM rejects new connections and below which it accepts them.
-	rejectAboveShare = 0.75
-	acceptBelowShare = 0.7
+	rejectAboveShare = 0.9
+	acceptBelowShare = 0.8
 	// gateTimeConstant is the time constant of the rate by which connections are
 	// rejected. The bytes of a request follow its connection within milliseconds.
 	gateTimeConstant = 150 * time.Millisecond
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -14,8 +14,8 @@
 	// above which the VM becomes busy and below which it becomes calm. They are
 	// far from the whole capacity, as requests arrive in bursts and packets queue
 	// well before the mean rate reaches it.
-	busyAboveShare = 0.6
-	calmBelowShare = 0.35
+	busyAboveShare = 0.85
+	calmBelowShare = 0.5
 	// rateTimeConstant is the time constant of the measured rate. A burst of a
 	// quarter of a second must not make the VM busy, and the load balancer takes
 	// two more seconds to react.
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"hawthornspar/core/escrow"
 	"hawthornspar/core/home"
 	"hawthornspar/io/peer"
 )
@@ -56,14 +57,15 @@
 	gateway      *Gateway
 	mu           sync.Mutex
 	node         *peer.Node
-	inProgress   map[string]bool      // accounts for which a borrowing runs
-	failedAt     map[string]time.Time // by VM name: when it last failed to respond
-	preconnected map[string]bool      // addresses to which a connection was opened early
-	shortfalls   map[string]shortfall // by account
+	inProgress   map[string]bool             // accounts for which a borrowing runs
+	failedAt     map[string]time.Time        // by VM name: when it last failed to respond
+	preconnected map[string]bool             // addresses to which a connection was opened early
+	shortfalls   map[string]shortfall        // by account
+	rotations    map[string]*escrow.Rotation // by account; used by its borrowing in progress
 }
 
 func newBorrower(g *Gateway) *borrower {
-	return &borrower{gateway: g, inProgress: map[string]bool{}, failedAt: map[string]time.Time{}, preconnected: map[string]bool{}, shortfalls: map[string]shortfall{}}
+	return &borrower{gateway: g, inProgress: map[string]bool{}, failedAt: map[string]time.Time{}, preconnected: map[string]bool{}, shortfalls: map[string]shortfall{}, rotations: map[string]*escrow.Rotation{}}
 }
 
 // setNode sets the transport to other VMs once it is open.
@@ -140,7 +142,10 @@
 		return
 	}
 	b.inProgress[account] = true
-	bw := &borrowing{borrower: b, group: gr, account: account, tokens: tokens}
+	if b.rotations[account] == nil {
+		b.rotations[account] = &escrow.Rotation{}
+	}
+	bw := &borrowing{borrower: b, rotation: b.rotations[account], group: gr, account: account, tokens: tokens}
 	go bw.run()
 }
 
--- a/io/gateway/borrowing.go
+++ b/io/gateway/borrowing.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"hawthornspar/core/escrow"
 	"hawthornspar/core/home"
 )
 
 // borrowing borrows tokens for one request.
 type borrowing struct {
 	borrower  *borrower
+	rotation  *escrow.Rotation // of the account's lenders
 	group     *group
 	account   string
 	tokens    int64
@@ -17,40 +19,34 @@
 }
 
 // run requests loans from the lenders in turn until no request of the account
-// waits for tokens. An active home VM first leaves the store time to cover the
-// shortfall.
+// waits for tokens, or none of the lenders has lent anything in a whole round. An
+// active home VM first leaves the store time to cover the shortfall.
 func (bw *borrowing) run() {
 	defer bw.finish()
 	if bw.isActiveHome() && !bw.group.storeFailing.Load() {
 		time.Sleep(storeHeadStart)
 	}
-	for _, l := range bw.lenders() {
-		if bw.exhaust(l) {
+	lenders := bw.lenders()
+	for unanswered := 0; unanswered < len(lenders); unanswered++ {
+		need, want := bw.shortfall()
+		if need == 0 {
 			return
 		}
+		v := lenders[bw.rotation.Next(len(lenders))]
+		lent := bw.borrowFrom(v, need, want)
+		bw.rotation.Record(lent, want)
 		if bw.reported.exhausted {
 			break
 		}
+		if lent > 0 {
+			unanswered = -1
+		}
 	}
 	if need, _ := bw.shortfall(); need > 0 && bw.responses > 0 {
 		bw.recordShortfall(need)
 	}
 }
 
-// exhaust borrows from one VM until it lends nothing. It reports whether the
-// shortfall is covered.
-func (bw *borrowing) exhaust(v home.VM) bool {
-	for {
-		need, want := bw.shortfall()
-		if need == 0 {
-			return true
-		}
-		if !bw.borrowFrom(v, need, want) {
-			return false
-		}
-	}
-}
-
 // recordShortfall records for later requests that the other VMs did not lend
 // enough.
 func (bw *borrowing) recordShortfall(need int64) {
@@ -114,26 +110,26 @@
 }
 
 // borrowFrom requests a loan from one VM and adds it to the account's tokens. It
-// reports whether the VM lent any.
-func (bw *borrowing) borrowFrom(v home.VM, need, want int64) bool {
+// returns the number of tokens lent.
+func (bw *borrowing) borrowFrom(v home.VM, need, want int64) int64 {
 	g := bw.borrower.gateway
 	response, err := bw.borrower.requestLoan(v, loan{Account: bw.account, Need: need, Want: want, FromHome: bw.isActiveHome()})
 	if err != nil {
 		bw.borrower.markFailed(v, err)
-		return false
+		return 0
 	}
 	g.log.V(1).Info("budget borrowed", "account", bw.account, "lender", v.Name, "need", need, "given", response.Lent,
 		"exhausted", response.Exhausted, "laterMs", response.RetryAfterMs)
 	bw.responses++
 	bw.recordResponse(response)
 	if response.Lent == 0 {
-		return false
+		return 0
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	bw.group.budgets.AddLoan(bw.account, response.Lent)
 	bw.group.notifyUpdate()
-	return true
+	return response.Lent
 }
 
 // recordResponse records what a response says about later requests. Of several
