--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,26 +86,50 @@
 // randomPeer returns the address of a random other VM. It returns false when
 // none is known or the transport is not open.
 func (b *borrower) randomPeer() (string, bool) {
-	var addresses []string
+	peers := b.peers()
+	if b.transport() == nil || len(peers) == 0 {
+		return "", false
+	}
+	return peers[rand.IntN(len(peers))].Address, true
+}
+
+// peers returns the other VMs.
+func (b *borrower) peers() []home.VM {
+	var peers []home.VM
 	b.gateway.state.mu.Lock()
+	defer b.gateway.state.mu.Unlock()
 	for _, v := range b.gateway.state.members {
 		if v.Name != b.gateway.settings.Name && v.Address != "" {
-			addresses = append(addresses, v.Address)
+			peers = append(peers, v)
 		}
 	}
-	b.gateway.state.mu.Unlock()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.node == nil || len(addresses) == 0 {
-		return "", false
+	return peers
+}
+
+// peerScheme begins the URLs of other VMs.
+const peerScheme = "https://"
+
+// StorePeerLost implements storepath.Peers.
+func (g *Gateway) StorePeerLost(baseURL string) {
+	address := strings.TrimPrefix(baseURL, peerScheme)
+	for _, v := range g.borrower.peers() {
+		if v.Address == address {
+			g.borrower.pause(v)
+		}
 	}
-	return addresses[rand.IntN(len(addresses))], true
 }
 
-// StorePeer implements storepath.Peers with a random other VM.
-func (g *Gateway) StorePeer() (baseURL string, transport http.RoundTripper, ok bool) {
-	address, ok := g.borrower.randomPeer()
-	return "https://" + address, g.borrower.transport(), ok
+// StorePeers implements storepath.Peers with the other VMs.
+func (g *Gateway) StorePeers() (baseURLs []string, transport http.RoundTripper) {
+	node := g.borrower.transport()
+	if node == nil {
+		return nil, nil
+	}
+	for _, v := range g.borrower.responsive(g.borrower.peers()) {
+		baseURLs = append(baseURLs, peerScheme+v.Address)
+	}
+	rand.Shuffle(len(baseURLs), func(i, j int) { baseURLs[i], baseURLs[j] = baseURLs[j], baseURLs[i] })
+	return baseURLs, node
 }
 
 // preconnect opens a connection to a home VM before the first request needs it.
@@ -166,12 +191,17 @@
 
 // markFailed excludes a VM that did not respond from requests for a while.
 func (b *borrower) markFailed(v home.VM, err error) {
+	b.pause(v)
+	b.gateway.metrics.Increment("lenders_lost", "noAnswer")
+	b.gateway.log.Info("lender lost", "lender", v.Name, "error", err.Error())
+}
+
+// pause excludes a VM from requests for a while and closes the connection to it.
+func (b *borrower) pause(v home.VM) {
 	b.mu.Lock()
 	b.failedAt[v.Name] = time.Now()
 	b.mu.Unlock()
 	b.closeConn(v.Address)
-	b.gateway.metrics.Increment("lenders_lost", "noAnswer")
-	b.gateway.log.Info("lender lost", "lender", v.Name, "error", err.Error())
 }
 
 // closeConn closes the connection to a VM that did not respond: the VM may have
--- a/io/storepath/transport.go
+++ b/io/storepath/transport.go
@@ -22,13 +22,17 @@
 	// relayPause is how long no request takes the path through another VM after
 	// that path failed. It is longer than the time between the requests of one VM.
 	relayPause = time.Second
+	// maxRelays is the number of VMs that are asked to pass on one request.
+	maxRelays = 4
 )
 
 // Peers finds other VMs.
 type Peers interface {
-	// StorePeer returns the base URL of a VM that may reach the store, and the
-	// transport to it; ok is false when none is known.
-	StorePeer() (baseURL string, transport http.RoundTripper, ok bool)
+	// StorePeers returns the base URLs of the VMs that may reach the store, in
+	// random order, and the transport to them.
+	StorePeers() (baseURLs []string, transport http.RoundTripper)
+	// StorePeerLost reports that the VM at a base URL did not respond.
+	StorePeerLost(baseURL string)
 }
 
 // Transport is an http.RoundTripper for requests to the store. Use New.
@@ -41,6 +45,7 @@
 	failedAt time.Time // when the direct path last failed; zero while it works
 	retryAt  time.Time // when the direct path is tried again
 	relayAt  time.Time // from when the path through another VM may be used
+	relayed  string    // base URL of the VM that last passed a request on; empty for none
 }
 
 // Path is a way to the store.
@@ -174,16 +179,38 @@
 	}
 }
 
-// relay sends a request through another VM.
+// relay sends a request through another VM: the one that passed the last request
+// on, or else up to maxRelays others.
 func (t *Transport) relay(r *http.Request) (*http.Response, error) {
 	t.mu.Lock()
-	peers := t.peers
+	peers, last := t.peers, t.relayed
 	t.mu.Unlock()
-	base, transport, ok := peers.StorePeer()
-	if !ok {
-		t.recordRelay(false)
-		return nil, errors.WithStack(&RelayError{})
+	baseURLs, transport := peers.StorePeers()
+	if last != "" {
+		baseURLs = append([]string{last}, baseURLs...)
+	}
+	for _, base := range baseURLs[:min(len(baseURLs), maxRelays)] {
+		response, err := relayThrough(base, transport, r)
+		if err == nil {
+			t.recordRelay(base)
+			return response, nil
+		}
+		var refused *RelayError
+		if !errors.As(err, &refused) && !errors.Is(r.Context().Err(), context.Canceled) {
+			peers.StorePeerLost(base)
+		}
+		if r.Context().Err() != nil {
+			break
+		}
+	}
+	if !errors.Is(r.Context().Err(), context.Canceled) {
+		t.recordRelay("")
 	}
+	return nil, errors.WithStack(&RelayError{})
+}
+
+// relayThrough sends a request through the VM at a base URL.
+func relayThrough(base string, transport http.RoundTripper, r *http.Request) (*http.Response, error) {
 	request, err := again(r)
 	if err != nil {
 		return nil, err
@@ -194,21 +221,25 @@
 	}
 	request.URL, request.Host = url, url.Host
 	response, err := transport.RoundTrip(request)
-	if err == nil && response.StatusCode == http.StatusBadGateway {
+	if err == nil && relayFailed(response) {
 		response.Body.Close()
 		err = errors.WithStack(&RelayError{})
 	}
-	if !errors.Is(r.Context().Err(), context.Canceled) {
-		t.recordRelay(err == nil)
-	}
 	return response, err
 }
 
-// recordRelay records the result of a request through another VM.
-func (t *Transport) recordRelay(succeeded bool) {
+// relayFailed reports whether a response shows that the VM that sent it does not
+// reach the store either.
+func relayFailed(r *http.Response) bool {
+	return r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusServiceUnavailable
+}
+
+// recordRelay records the VM that passed a request on; empty if none did.
+func (t *Transport) recordRelay(base string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if succeeded {
+	t.relayed = base
+	if base != "" {
 		t.change(Relayed)
 		return
 	}
--- a/io/storepath/transport_test.go
+++ b/io/storepath/transport_test.go
@@ -56,15 +56,16 @@
 	return v
 }
 
-// only makes one VM the only one that is known.
-type only struct{ peer *vm }
-
-// StorePeer implements Peers.
-func (o only) StorePeer() (string, http.RoundTripper, bool) {
-	if o.peer == nil {
-		return "", nil, false
+// peers are the other VMs that a VM knows.
+type peers []*vm
+
+// StorePeers implements Peers.
+func (p peers) StorePeers() ([]string, http.RoundTripper) {
+	var urls []string
+	for _, v := range p {
+		urls = append(urls, v.server.URL)
 	}
-	return o.peer.server.URL, http.DefaultTransport, true
+	return urls, http.DefaultTransport
 }
 
 // post sends a request and returns the store's response, empty if it failed.
@@ -81,6 +82,9 @@
 	return string(raw)
 }
 
+// StorePeerLost implements Peers.
+func (peers) StorePeerLost(string) {}
+
 var _ = Describe("Transport", func() {
 	var store *httptest.Server
 	var own, other *vm
@@ -91,7 +95,7 @@
 		}))
 		DeferCleanup(store.Close)
 		own, other = newVM(store), newVM(store)
-		own.transport.SetPeers(only{other})
+		own.transport.SetPeers(peers{other})
 	})
 	const response = "POST /rows?table=a body"
 
@@ -136,9 +140,26 @@
 		Expect(other.direct.requests).To(BeNumerically("<=", 1))
 	})
 
+	It("finds the VM that reaches the store among others that do not, and stays with it", func() {
+		var known peers
+		for range 3 {
+			cut := newVM(store)
+			cut.direct.cut = true
+			known = append(known, cut)
+		}
+		own.transport.SetPeers(append(known, other))
+		own.direct.cut = true
+		for range 6 {
+			Expect(own.post(store.URL)).To(Equal(response))
+		}
+		for _, cut := range known {
+			Expect(cut.direct.requests).To(BeNumerically("<=", 1))
+		}
+	})
+
 	It("never passes a request on from one VM to the next", func() {
 		third := newVM(store)
-		other.transport.SetPeers(only{third})
+		other.transport.SetPeers(peers{third})
 		own.direct.cut, other.direct.cut = true, true
 		Expect(own.post(store.URL)).To(BeEmpty())
 		Expect(third.direct.requests).To(BeZero())
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -74,7 +74,7 @@
 		v.signal(h.supervisorDir, syscall.SIGHUP)
 	case Rewrite:
 		v.rewrites++
-		return h.supervisorDir.Write(v.name+".conf", v.settings(nil))
+		return h.supervisorDir.Write(v.name+".conf", v.settings())
 	case StoreDown, StoreSlow, StoreLoses, StoreForgets:
 		j.failStore()
 	case CutReset, CutSilent, CutOneWay:
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -130,7 +130,8 @@
 		}
 	}
 	for _, v := range h.vms {
-		if err := h.supervisorDir.Write(v.name+".conf", v.settings(seeds)); err != nil {
+		v.seeds = seeds
+		if err := h.supervisorDir.Write(v.name+".conf", v.settings()); err != nil {
 			return err
 		}
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -47,6 +47,22 @@
 	standin.Rejects, standin.Resets, standin.Fails, standin.AnswersTwice, standin.AnswersEarly, standin.Breaks, standin.Unframed, standin.Hangs,
 }
 
+// firstExtendedSeed is the first seed whose schedule may also draw from
+// extendedBehaviours. The schedules of earlier seeds stay as they were, as some of
+// them are kept as regression cases.
+const firstExtendedSeed = 1000
+
+var extendedBehaviours = append(faultyBehaviours[:len(faultyBehaviours):len(faultyBehaviours)],
+	standin.EndlessHead, standin.EndlessEvent, standin.Trickles, standin.Unsealed)
+
+// behavioursOf returns the behaviours from which the schedule of a seed draws.
+func behavioursOf(seed uint64) []standin.Behaviour {
+	if seed >= firstExtendedSeed {
+		return extendedBehaviours
+	}
+	return faultyBehaviours
+}
+
 // Event is one entry of a schedule.
 type Event struct {
 	At        time.Duration // since the start of the schedule
@@ -65,11 +81,12 @@
 // the same events. Events may overlap, and are not sorted by time.
 func Schedule(seed uint64, period time.Duration, count int) []Event {
 	r := rand.New(rand.NewPCG(seed, 11))
+	behaviours := behavioursOf(seed)
 	events := make([]Event, count)
 	for i := range events {
 		events[i] = Event{
 			At: time.Duration(r.Float64() * float64(period)), Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(1 << 16),
-			Duration: 500*time.Millisecond + time.Duration(r.Float64()*float64(4*time.Second)), Behaviour: faultyBehaviours[r.IntN(len(faultyBehaviours))],
+			Duration: 500*time.Millisecond + time.Duration(r.Float64()*float64(4*time.Second)), Behaviour: behaviours[r.IntN(len(behaviours))],
 		}
 	}
 	return events
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -33,6 +33,7 @@
 	listen, ready, control, peer string
 	storeLink                    *link.Link // between the VM and the store
 	storeAddress                 string     // of storeLink
+	seeds                        []string   // control addresses of other VMs
 	rewrites                     int        // of the settings file, by Rewrite events
 }
 
@@ -83,11 +84,11 @@
 func (s *linkServer) run() { _ = s.link.ServeTCP(s.listener) } // ends with the process
 
 // settings returns the content of the VM's settings file.
-func (v *vm) settings(seeds []string) string {
+func (v *vm) settings() string {
 	g := settings.Gateway{
-		Name: v.name, FailureDomain: "z", Listen: v.listen, ReadyListen: v.ready, ControlListen: v.control, PeerListen: v.peer, Seeds: seeds,
+		Name: v.name, FailureDomain: "z", Listen: v.listen, ReadyListen: v.ready, ControlListen: v.control, PeerListen: v.peer, Seeds: v.seeds,
 		Store: v.storeAddress, StoreWritesPerSecond: 200, BudgetGroups: 4,
-		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, GracePeriod: gracePeriod, BudgetReportInterval: 500 * time.Millisecond, Verbosity: 1,
+		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, GracePeriod: gracePeriod, BudgetReportInterval: 500 * time.Millisecond, DrainNotice: maxDrainDelay, Verbosity: 1,
 	}
 	return fmt.Sprintf("%s# rewritten %d times\n", g.Text(), v.rewrites)
 }
