io/gateway: a broken-off response to HTTP/1.0 is reset

A response in HTTP/1.0 without a length ends with its connection, so one that broke off halfway looked complete. io/gateway/abort_test.go failed for that kind before.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -73,7 +73,7 @@
 		}
 		if x.relayed.started && refused.status != 0 || refused == clientDisconnected {
 			x.recordEnd("cutOff", refused.reason)
-			panic(http.ErrAbortHandler)
+			x.abort()
 		}
 		if refused.status != 0 {
 			x.refuse(refused)
@@ -233,7 +233,7 @@
 func (x *exchange) refuse(r refusal) {
 	if r == clientDisconnected {
 		x.recordEnd("cutOff", r.reason)
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	x.recordEnd("refused", r.reason)
 	x.gateway.refuse(x.writer, x.info.ID, r, x.timeLeft())
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -141,7 +141,7 @@
 	next := &connListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	next.server = &http.Server{
 		Handler: s.gateway, MaxHeaderBytes: l.HeaderBytes,
-		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleTimeoutSlack,
+		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleTimeoutSlack, ConnContext: withConn,
 	}
 	s.current = next
 	s.httpServers = append(s.httpServers, next.server)
