--- a/core/load/gate.go
+++ b/core/load/gate.go
@@ -26,11 +26,10 @@
 )
 
 // Gate decides whether a VM accepts new connections. The load balancer sends all
-// connections of a client to one VM. A VM whose link or processor cannot carry
-// them rejects connections for parts of a second, so that those that it accepts
-// are served in time. A rejected connection costs the link hardly anything, and
-// tells the client at once to try elsewhere. The zero value is a gate of a link
-// without a limit.
+// connections of a client to one VM. A VM whose link cannot carry them rejects
+// connections for parts of a second, so that those that it accepts are served in
+// time: the link would carry the bytes of a refused request as well. The zero
+// value is a gate of a link without a limit.
 type Gate struct {
 	Capacity     float64 // bytes per second in each direction; 0 for no limit
 	rate         Rate
@@ -41,18 +40,17 @@
 	forcedAccept bool      // it accepts because it has rejected for maxRejectTime
 }
 
-// Observe adds the bytes of the busier direction since the last call, and whether
-// the VM's work waits for the processor. It returns whether new connections are
-// rejected from now on.
-func (g *Gate) Observe(bytes int64, processorBusy bool, now time.Time) bool {
+// Observe adds the bytes of the busier direction since the last call. It returns
+// whether new connections are rejected from now on.
+func (g *Gate) Observe(bytes int64, now time.Time) bool {
 	g.rate.TimeConstant = gateTimeConstant
 	share := 0.0
 	if rate := g.rate.Observe(bytes, now); g.Capacity > 0 {
 		share = rate / g.Capacity
 	}
 	g.updateOverloaded(share, now)
-	reject := processorBusy || g.overloaded && share > rejectAboveShare
-	accept := !processorBusy && (!g.overloaded || share <= acceptBelowShare)
+	reject := g.overloaded && share > rejectAboveShare
+	accept := !g.overloaded || share <= acceptBelowShare
 	elapsed := now.Sub(g.changed)
 	switch {
 	case g.rejecting && accept:
--- a/core/load/gate_test.go
+++ b/core/load/gate_test.go
@@ -28,7 +28,7 @@
 	l.passed += passed
 	l.longest = max(l.longest, time.Duration(l.waiting/l.capacity*float64(time.Second)))
 	if now-l.sampled >= gateSamplePeriod {
-		l.rejects = l.gate.Observe(int64(l.passed), false, time.Unix(1_000, 0).Add(now))
+		l.rejects = l.gate.Observe(int64(l.passed), time.Unix(1_000, 0).Add(now))
 		l.sampled, l.passed = now, 0
 	}
 }
@@ -118,7 +118,7 @@
 		rejectedSince, longest := time.Time{}, time.Duration(0)
 		for range 400 {
 			now = now.Add(gateSamplePeriod)
-			if !g.Observe(125_000, true, now) {
+			if !g.Observe(125_000, now) {
 				rejectedSince = time.Time{}
 				continue
 			}
@@ -136,7 +136,7 @@
 		now := time.Unix(1_000, 0)
 		for range 100 {
 			now = now.Add(gateSamplePeriod)
-			Expect(g.Observe(10_000_000, false, now)).To(BeFalse())
+			Expect(g.Observe(10_000_000, now)).To(BeFalse())
 		}
 	})
 })
--- a/io/gateway/gate.go
+++ b/io/gateway/gate.go
@@ -36,7 +36,7 @@
 		if float64(bytes) > activeGateShare*m.gate.Capacity*gatePeriod.Seconds() {
 			period = gatePeriod
 		}
-		rejecting := m.gate.Observe(bytes, m.gateway.processor.busy.Load(), time.Now())
+		rejecting := m.gate.Observe(bytes, time.Now())
 		m.record(rejecting)
 		m.gateway.server.setAccepting(!rejecting || m.gateway.shuttingDown.Load())
 	}
@@ -57,7 +57,7 @@
 	}
 	now := time.Now()
 	if now.Sub(m.lastRejected) > gateLogPause {
-		m.gateway.log.Info("connections rejected for parts of a second", "processorBusy", m.gateway.processor.busy.Load())
+		m.gateway.log.Info("connections rejected for parts of a second")
 	}
 	m.lastRejected = now
 	m.gateway.metrics.Increment("gate", "rejecting")
