--- a/core/load/load.go
+++ b/core/load/load.go
@@ -31,9 +31,8 @@
 // Rate is an exponentially smoothed rate per second. Its zero value is a rate
 // of zero.
 type Rate struct {
-	TimeConstant time.Duration // of the smoothing; 0 for rateTimeConstant
-	perSecond    float64
-	updated      time.Time
+	perSecond float64
+	updated   time.Time
 }
 
 // Observe adds the count since the last call and returns the smoothed rate.
@@ -44,11 +43,7 @@
 		return r.perSecond
 	}
 	r.updated = now
-	constant := r.TimeConstant
-	if constant == 0 {
-		constant = rateTimeConstant
-	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
+	weight := 1 - math.Exp(-elapsed.Seconds()/rateTimeConstant.Seconds())
 	r.perSecond += weight * (float64(count)/elapsed.Seconds() - r.perSecond)
 	return r.perSecond
 }
