--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -155,9 +155,9 @@
 	return true
 }
 
-// maxDeferredAdjustments bounds the transactions that leave a total alone after a
-// conflict over it.
-const maxDeferredAdjustments = 16
+// maxConflictDoublings bounds how often the number of transactions that leave a
+// total alone doubles.
+const maxConflictDoublings = 4
 
 // deferAdjustments makes the next transactions leave those totals alone that
 // other VMs have changed meanwhile, so that the VM's own allocations, which no
@@ -170,7 +170,7 @@
 		}
 		a := b.accounts[total.Account]
 		a.conflicts++
-		limit := min(1<<a.conflicts, maxDeferredAdjustments)
+		limit := 1 << min(a.conflicts, maxConflictDoublings)
 		seed := b.vm + "/" + total.Account + "/" + strconv.FormatInt(b.sequence, 10)
 		a.deferredAdjustments = 1 + int(xxhash.Sum64String(seed)%uint64(limit))
 	}
