--- a/core/load/gate.go
+++ b/core/load/gate.go
@@ -4,10 +4,10 @@
 
 const (
 	// rejectAboveDelay and acceptBelowDelay are the delays in the VM's link above
-	// which it rejects new connections and below which it accepts them. Requests
-	// cross the link several times within their objectives.
-	rejectAboveDelay = 150 * time.Millisecond
-	acceptBelowDelay = 75 * time.Millisecond
+	// which it rejects new connections and below which it accepts them. A request
+	// crosses the link about five times within objectives of 300 ms and more.
+	rejectAboveDelay = 40 * time.Millisecond
+	acceptBelowDelay = 20 * time.Millisecond
 	// maxRejectTime bounds the time for which all connections are rejected.
 	maxRejectTime = 500 * time.Millisecond
 	// minAcceptTime is how long connections are accepted after maxRejectTime.
--- a/io/gateway/gate.go
+++ b/io/gateway/gate.go
@@ -13,7 +13,7 @@
 	gatePeriod        = 100 * time.Millisecond
 	delayedGatePeriod = 25 * time.Millisecond
 	// noticedDelay is the delay from which delayedGatePeriod applies.
-	noticedDelay = 20 * time.Millisecond
+	noticedDelay = 10 * time.Millisecond
 	// gateLogPause is the time without a rejection after which the next one is
 	// logged again.
 	gateLogPause = 5 * time.Second
