--- a/core/load/load.go
+++ b/core/load/load.go
@@ -31,8 +31,9 @@
 // Rate is an exponentially smoothed rate per second. Its zero value is a rate
 // of zero.
 type Rate struct {
-	perSecond float64
-	updated   time.Time
+	TimeConstant time.Duration // of the smoothing; 0 for rateTimeConstant
+	perSecond    float64
+	updated      time.Time
 }
 
 // Observe adds the count since the last call and returns the smoothed rate.
@@ -43,7 +44,11 @@
 		return r.perSecond
 	}
 	r.updated = now
-	weight := 1 - math.Exp(-elapsed.Seconds()/rateTimeConstant.Seconds())
+	constant := r.TimeConstant
+	if constant == 0 {
+		constant = rateTimeConstant
+	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
 	r.perSecond += weight * (float64(count)/elapsed.Seconds() - r.perSecond)
 	return r.perSecond
 }
--- a/io/gateway/borrow.go
+++ b/io/gateway/borrow.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,13 +83,18 @@
 	return b.node
 }
 
-// randomPeer returns the address of a random other VM. It returns false when
-// none is known or the transport is not open.
+// randomPeer returns the address of a random other VM, one to which a connection
+// is open if there is any. It returns false when no other VM is known or the
+// transport is not open.
 func (b *borrower) randomPeer() (string, bool) {
-	peers := b.peers()
-	if b.transport() == nil || len(peers) == 0 {
+	node, peers := b.transport(), b.peers()
+	if node == nil || len(peers) == 0 {
 		return "", false
 	}
+	connected := slices.DeleteFunc(slices.Clone(peers), func(v home.VM) bool { return !node.Connected(v.Address) })
+	if len(connected) > 0 {
+		peers = connected
+	}
 	return peers[rand.IntN(len(peers))].Address, true
 }
 
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -167,10 +167,9 @@
 
 // attempt sends the request to one endpoint and relays its response.
 func (x *exchange) attempt(ctx context.Context, a *endpoints.Attempt) (endpoints.Outcome, action, refusal) {
-	start := time.Now()
 	conn, err := x.gateway.pool.Get(ctx, a.Endpoint.Address, x.gateway.state.maxConnections(x.service))
 	if err != nil || !conn.Reused() {
-		x.gateway.congestion.recordDial(time.Since(start), err)
+		x.gateway.congestion.recordDial(err)
 	}
 	if err != nil {
 		return x.notSent(ctx, err)
--- a/io/gateway/gate.go
+++ b/io/gateway/gate.go
@@ -9,11 +9,12 @@
 
 const (
 	// gatePeriod is the time between decisions whether new connections are
-	// accepted, and delayedGatePeriod applies while there is a delay.
-	gatePeriod        = 100 * time.Millisecond
-	delayedGatePeriod = 25 * time.Millisecond
-	// noticedDelay is the delay from which delayedGatePeriod applies.
-	noticedDelay = 10 * time.Millisecond
+	// accepted, while there is traffic; idleGatePeriod applies otherwise.
+	gatePeriod     = 25 * time.Millisecond
+	idleGatePeriod = 100 * time.Millisecond
+	// activeGateShare is the share of the link's capacity above which gatePeriod
+	// applies.
+	activeGateShare = 0.2
 	// gateLogPause is the time without a rejection after which the next one is
 	// logged again.
 	gateLogPause = 5 * time.Second
@@ -23,31 +24,40 @@
 type gateMonitor struct {
 	gateway      *Gateway
 	gate         load.Gate
+	counted      int64     // trafficBytes at the last sample
 	lastRejected time.Time // when connections were last rejected
 }
 
 func (m *gateMonitor) loop(ctx context.Context) {
-	period := gatePeriod
+	period := idleGatePeriod
 	for sleep(ctx, period) {
-		delay := m.gateway.congestion.delay()
-		period = gatePeriod
-		if delay > noticedDelay {
-			period = delayedGatePeriod
+		bytes := m.sample()
+		period = idleGatePeriod
+		if float64(bytes) > activeGateShare*m.gate.Capacity*gatePeriod.Seconds() {
+			period = gatePeriod
 		}
-		rejecting := m.gate.Observe(delay, time.Now()) && !m.gateway.shuttingDown.Load()
-		m.record(rejecting, delay)
-		m.gateway.server.setAccepting(!rejecting)
+		rejecting := m.gate.Observe(bytes, time.Now())
+		m.record(rejecting)
+		m.gateway.server.setAccepting(!rejecting || m.gateway.shuttingDown.Load())
 	}
 }
 
+// sample returns the bytes since the last call.
+func (m *gateMonitor) sample() int64 {
+	total := m.gateway.trafficBytes.Load()
+	bytes := total - m.counted
+	m.counted = total
+	return bytes
+}
+
 // record logs the first rejection after a pause, and counts all.
-func (m *gateMonitor) record(rejecting bool, delay time.Duration) {
+func (m *gateMonitor) record(rejecting bool) {
 	if !rejecting {
 		return
 	}
 	now := time.Now()
 	if now.Sub(m.lastRejected) > gateLogPause {
-		m.gateway.log.Info("connections rejected for parts of a second", "delayMs", delay.Milliseconds())
+		m.gateway.log.Info("connections rejected for parts of a second")
 	}
 	m.lastRejected = now
 	m.gateway.metrics.Increment("gate", "rejecting")
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -76,11 +76,10 @@
 type congestion struct {
 	mu       sync.Mutex
 	detector load.Congestion
-	opening  load.Delay
 }
 
-// recordDial records the outcome of opening a connection, and how long it took.
-func (c *congestion) recordDial(took time.Duration, err error) {
+// recordDial records the outcome of opening a connection.
+func (c *congestion) recordDial(err error) {
 	var dial *http1.DialError
 	failed := errors.As(err, &dial)
 	if err != nil && !failed {
@@ -89,18 +88,7 @@
 	var timeout net.Error
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	timedOut := failed && errors.As(err, &timeout) && timeout.Timeout()
-	c.detector.RecordAttempt(timedOut, time.Now())
-	if !failed || timedOut {
-		c.opening.Record(took, time.Now())
-	}
-}
-
-// delay returns the estimated delay in the VM's own link.
-func (c *congestion) delay() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.opening.Estimate(time.Now())
+	c.detector.RecordAttempt(failed && errors.As(err, &timeout) && timeout.Timeout(), time.Now())
 }
 
 // congested reports whether the VM's own link is congested.
--- a/io/storepath/transport.go
+++ b/io/storepath/transport.go
@@ -20,8 +20,11 @@
 	// failure of the direct one, but for one that tries the direct path again.
 	directPause = time.Second
 	// relayPause is how long no request takes the path through another VM after
-	// that path failed. It is longer than the time between the requests of one VM.
-	relayPause = time.Second
+	// that path failed. It is longer than the time between the requests of one VM,
+	// and doubles with each failure in a row, at most maxRelayDoublings times, as the
+	// store may be out of reach for all VMs.
+	relayPause        = time.Second
+	maxRelayDoublings = 2
 	// maxRelays is the number of VMs that are asked to pass on one request.
 	maxRelays = 4
 )
@@ -46,6 +49,7 @@
 	retryAt  time.Time // when the direct path is tried again
 	relayAt  time.Time // from when the path through another VM may be used
 	relayed  string    // base URL of the VM that last passed a request on; empty for none
+	failures int       // of the path through another VM in a row
 }
 
 // Path is a way to the store.
@@ -240,10 +244,12 @@
 	defer t.mu.Unlock()
 	t.relayed = base
 	if base != "" {
+		t.failures = 0
 		t.change(Relayed)
 		return
 	}
-	t.relayAt = time.Now().Add(relayPause)
+	t.relayAt = time.Now().Add(relayPause << min(t.failures, maxRelayDoublings))
+	t.failures++
 }
 
 // RelayError reports that the store cannot be reached through another VM.
