--- a/io/storepath/transport.go
+++ b/io/storepath/transport.go
@@ -25,6 +25,10 @@
 	// store may be out of reach for all VMs.
 	relayPause        = time.Second
 	maxRelayDoublings = 2
+	// maxRefusals is the number of refusals in a row for too many requests from
+	// which the direct path counts as failing. The store may refuse some VMs only;
+	// a VM that sends too much itself has other requests that succeed meanwhile.
+	maxRefusals = 3
 	// maxRelays is the number of VMs that are asked to pass on one request.
 	maxRelays = 4
 )
@@ -50,6 +54,7 @@
 	relayAt  time.Time // from when the path through another VM may be used
 	relayed  string    // base URL of the VM that last passed a request on; empty for none
 	failures int       // of the path through another VM in a row
+	refusals int       // of the direct path in a row
 }
 
 // Path is a way to the store.
@@ -107,7 +112,7 @@
 		return nil, err
 	}
 	response, err := t.direct.RoundTrip(request)
-	failed := err != nil || response.StatusCode == http.StatusServiceUnavailable
+	failed := err != nil || t.refused(response)
 	t.recordDirect(r.Context(), failed, time.Now())
 	if !failed || r.Context().Err() != nil || !t.mayRelay(time.Now()) {
 		return response, err
@@ -122,6 +127,18 @@
 	return relayed, nil
 }
 
+// refused reports whether a response of the store shows that it refuses this VM.
+func (t *Transport) refused(r *http.Response) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.StatusCode != http.StatusTooManyRequests {
+		t.refusals = 0
+		return r.StatusCode == http.StatusServiceUnavailable
+	}
+	t.refusals++
+	return t.refusals >= maxRefusals
+}
+
 // again returns a copy of a request whose body can be sent.
 func again(r *http.Request) (*http.Request, error) {
 	request := r.Clone(r.Context())
@@ -235,7 +252,11 @@
 // relayFailed reports whether a response shows that the VM that sent it does not
 // reach the store either.
 func relayFailed(r *http.Response) bool {
-	return r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusServiceUnavailable
+	switch r.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return true
+	}
+	return false
 }
 
 // recordRelay records the VM that passed a request on; empty if none did.
--- a/io/storepath/transport_test.go
+++ b/io/storepath/transport_test.go
@@ -120,6 +120,26 @@
 		})
 	}
 
+	It("reaches the store through another VM once the store has refused this one several times in a row", func() {
+		own.direct.status = http.StatusTooManyRequests
+		for range maxRefusals - 1 {
+			Expect(own.post(store.URL)).To(BeEmpty())
+		}
+		for range 5 {
+			Expect(own.post(store.URL)).To(Equal(response))
+		}
+	})
+
+	It("does not take single refusals for too many requests for a failure", func() {
+		for range 5 {
+			own.direct.status = http.StatusTooManyRequests
+			Expect(own.post(store.URL)).To(BeEmpty())
+			own.direct.status = 0
+			Expect(own.post(store.URL)).To(Equal(response))
+		}
+		Expect(other.direct.requests).To(BeZero())
+	})
+
 	It("returns to the direct path", func() {
 		own.direct.cut = true
 		Expect(own.post(store.URL)).To(Equal(response))
