--- a/io/storepath/relay.go
+++ b/io/storepath/relay.go
@@ -51,10 +51,3 @@
 	request.Header.Set("Content-Type", r.Header.Get("Content-Type"))
 	return l.Transport.direct.RoundTrip(request)
 }
-
-// directFailing reports whether the direct path failed when it was last used.
-func (t *Transport) directFailing() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.failedAt.IsZero()
-}
--- a/io/storepath/transport.go
+++ b/io/storepath/transport.go
@@ -4,7 +4,6 @@
 package storepath
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -127,18 +126,6 @@
 	return relayed, nil
 }
 
-// refused reports whether a response of the store shows that it refuses this VM.
-func (t *Transport) refused(r *http.Response) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r.StatusCode != http.StatusTooManyRequests {
-		t.refusals = 0
-		return r.StatusCode == http.StatusServiceUnavailable
-	}
-	t.refusals++
-	return t.refusals >= maxRefusals
-}
-
 // again returns a copy of a request whose body can be sent.
 func again(r *http.Request) (*http.Request, error) {
 	request := r.Clone(r.Context())
@@ -149,132 +136,3 @@
 	request.Body = body
 	return request, errors.Wrap(err, "body")
 }
-
-// relayFirst reports whether a request takes the path through another VM without
-// a try of the direct one. One request in each directPause tries the direct path.
-func (t *Transport) relayFirst(now time.Time) bool {
-	if !t.mayRelay(now) {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.failedAt.IsZero() {
-		return false
-	}
-	if now.Before(t.retryAt) {
-		return true
-	}
-	t.retryAt = now.Add(directPause)
-	return false
-}
-
-// mayRelay reports whether the path through another VM may be used.
-func (t *Transport) mayRelay(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.peers != nil && !now.Before(t.relayAt)
-}
-
-// recordDirect records the result of a request on the direct path. One that its
-// caller has given up shows a failure only if its time was used up.
-func (t *Transport) recordDirect(ctx context.Context, failed bool, now time.Time) {
-	if failed && errors.Is(ctx.Err(), context.Canceled) {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !failed {
-		t.failedAt = time.Time{}
-		t.change(Direct)
-		return
-	}
-	t.failedAt = now
-	t.retryAt = now.Add(directPause)
-}
-
-// change records the path of a request that succeeded. The caller holds the lock.
-func (t *Transport) change(to Path) {
-	if t.path != to {
-		t.path = to
-		t.observe(to)
-	}
-}
-
-// relay sends a request through another VM: the one that passed the last request
-// on, or else up to maxRelays others.
-func (t *Transport) relay(r *http.Request) (*http.Response, error) {
-	t.mu.Lock()
-	peers, last := t.peers, t.relayed
-	t.mu.Unlock()
-	baseURLs, transport := peers.StorePeers()
-	if last != "" {
-		baseURLs = append([]string{last}, baseURLs...)
-	}
-	for _, base := range baseURLs[:min(len(baseURLs), maxRelays)] {
-		response, err := relayThrough(base, transport, r)
-		if err == nil {
-			t.recordRelay(base)
-			return response, nil
-		}
-		var refused *RelayError
-		if !errors.As(err, &refused) && !errors.Is(r.Context().Err(), context.Canceled) {
-			peers.StorePeerLost(base)
-		}
-		if r.Context().Err() != nil {
-			break
-		}
-	}
-	if !errors.Is(r.Context().Err(), context.Canceled) {
-		t.recordRelay("")
-	}
-	return nil, errors.WithStack(&RelayError{})
-}
-
-// relayThrough sends a request through the VM at a base URL.
-func relayThrough(base string, transport http.RoundTripper, r *http.Request) (*http.Response, error) {
-	request, err := again(r)
-	if err != nil {
-		return nil, err
-	}
-	url, err := r.URL.Parse(base + PathPrefix + r.URL.RequestURI())
-	if err != nil {
-		return nil, errors.Wrap(err, "address of a VM")
-	}
-	request.URL, request.Host = url, url.Host
-	response, err := transport.RoundTrip(request)
-	if err == nil && relayFailed(response) {
-		response.Body.Close()
-		err = errors.WithStack(&RelayError{})
-	}
-	return response, err
-}
-
-// relayFailed reports whether a response shows that the VM that sent it does not
-// reach the store either.
-func relayFailed(r *http.Response) bool {
-	switch r.StatusCode {
-	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return true
-	}
-	return false
-}
-
-// recordRelay records the VM that passed a request on; empty if none did.
-func (t *Transport) recordRelay(base string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.relayed = base
-	if base != "" {
-		t.failures = 0
-		t.change(Relayed)
-		return
-	}
-	t.relayAt = time.Now().Add(relayPause << min(t.failures, maxRelayDoublings))
-	t.failures++
-}
-
-// RelayError reports that the store cannot be reached through another VM.
-type RelayError struct{}
-
-// Error implements error.
-func (*RelayError) Error() string { return "no other VM reaches the store" }
