--- a/io/gateway/gate.go
+++ b/io/gateway/gate.go
@@ -12,8 +12,8 @@
 	// accepted, while there is traffic; idleGatePeriod applies otherwise.
 	gatePeriod     = 25 * time.Millisecond
 	idleGatePeriod = 100 * time.Millisecond
-	// activeGateShare is the share of the link's capacity above which gatePeriod
-	// applies.
+	// activeGateShare is the share of what the link carries in gatePeriod. A sample
+	// with more bytes makes gatePeriod apply.
 	activeGateShare = 0.2
 	// gateLogPause is the time without a rejection after which the next one is
 	// logged again.
