--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -135,12 +135,14 @@
 	var pending []byte
 	for {
 		n, err := response.Body.Read(*buffer)
+		// What was pending has no end of an event, but may have its beginning.
+		searched := max(len(pending)-len(eventEnd)+1, 0)
 		pending = append(pending, (*buffer)[:n]...)
 		if len(pending) > maxEventBytes {
 			return errors.WithStack(&EventTooLargeError{})
 		}
-		lastEnd := bytes.LastIndex(pending, eventEnd)
-		if lastEnd >= 0 {
+		if found := bytes.LastIndex(pending[searched:], eventEnd); found >= 0 {
+			lastEnd := searched + found
 			x.gateway.state.recordFirstChunk(a)
 			events := pending[:lastEnd+len(eventEnd)]
 			x.writeHead(response)
