--- a/core/load/load.go
+++ b/core/load/load.go
@@ -14,8 +14,8 @@
 	// above which the VM becomes busy and below which it becomes calm. They are
 	// far from the whole capacity, as requests arrive in bursts and packets queue
 	// well before the mean rate reaches it.
-	busyAboveShare = 0.85
-	calmBelowShare = 0.5
+	busyAboveShare = 0.6
+	calmBelowShare = 0.35
 	// rateTimeConstant is the time constant of the measured rate. A burst of a
 	// quarter of a second must not make the VM busy, and the load balancer takes
 	// two more seconds to react.
@@ -31,9 +31,8 @@
 // Rate is an exponentially smoothed rate per second. Its zero value is a rate
 // of zero.
 type Rate struct {
-	TimeConstant time.Duration // of the smoothing; 0 for rateTimeConstant
-	perSecond    float64
-	updated      time.Time
+	perSecond float64
+	updated   time.Time
 }
 
 // Observe adds the count since the last call and returns the smoothed rate.
@@ -44,11 +43,7 @@
 		return r.perSecond
 	}
 	r.updated = now
-	constant := r.TimeConstant
-	if constant == 0 {
-		constant = rateTimeConstant
-	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
+	weight := 1 - math.Exp(-elapsed.Seconds()/rateTimeConstant.Seconds())
 	r.perSecond += weight * (float64(count)/elapsed.Seconds() - r.perSecond)
 	return r.perSecond
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -127,8 +127,6 @@
 	go sweeper.loop(background)
 	traffic := &loadMonitor{gateway: g, meter: load.Meter{Capacity: g.settings.LinkBytesPerSecond}}
 	go traffic.loop(background)
-	gate := &gateMonitor{gateway: g, gate: load.Gate{Capacity: g.settings.LinkBytesPerSecond}}
-	go gate.loop(background)
 	processor := &processorMonitor{gateway: g}
 	go processor.loop(background)
 	<-ctx.Done()
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -30,7 +30,6 @@
 	limits      route.Limits
 	current     *connListener
 	httpServers []*http.Server
-	acceptor    *acceptor // nil until listen is called
 }
 
 // connListener is a net.Listener that returns connections which the acceptor
@@ -74,8 +73,8 @@
 		return errors.Wrap(err, "listen")
 	}
 	s.setLimits(route.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}, front.Addr())
-	s.acceptor = newAcceptor(s, front)
-	go s.acceptor.loop()
+	a := &acceptor{server: s, listener: front}
+	go a.loop()
 	return s.listenInternal()
 }
 
