io/gateway: log lines tell a crash from a lost response, and name the request by fingerprint

'answer lost' and 'answer cut off' now have endpoint and fingerprint (account, path, body). After either, a new connection is tried: if it is refused, 'endpoint crashed' is logged and counted (endpoint_crashes); else it is kept for the next request.

No decision changed.

--- /dev/null
+++ b/core/quarantine/suite_test.go
@@ -0,0 +1,13 @@
+package quarantine
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quarantine")
+}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -8,6 +8,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
 	"hawthornspar/io/http1"
 )
@@ -38,7 +39,8 @@
 	properties           endpoints.Request // what the choice of an endpoint depends on
 	deadline             time.Time
 	body                 []byte
-	bodyMemory           int64 // bytes counted for the body in Gateway.bufferedBytes
+	bodyMemory           int64                  // bytes counted for the body in Gateway.bufferedBytes
+	identity             quarantine.Fingerprint // empty until fingerprint is called
 
 	reservation  *escrow.Reservation
 	attempted    map[string]bool // endpoints that were chosen for earlier attempts
@@ -190,12 +192,12 @@
 		if errors.As(err, &unsent) {
 			return x.notSent(ctx, err)
 		}
-		return x.noResponse(ctx, err)
+		return x.noResponse(ctx, a, err)
 	}
 	response, err := conn.ReadResponse(x.request.Method, func(r *http.Response) bool { return x.isOwnResponse(r, conn.Reused()) })
 	if err != nil {
 		conn.Close()
-		return x.noResponse(ctx, err)
+		return x.noResponse(ctx, a, err)
 	}
 	return x.handleResponse(ctx, a, conn, response, stop)
 }
@@ -250,15 +252,12 @@
 
 // recordEnd counts the request in the metrics and logs how it ended.
 func (x *exchange) recordEnd(outcome, reason string) {
-	name, account := "", ""
+	name := ""
 	if x.route != nil {
 		name = x.route.Name
 	}
-	if x.account != nil {
-		account = x.account.Name
-	}
 	x.gateway.metrics.Increment("requests", outcome)
 	x.gateway.metrics.ObserveDuration("request_seconds", outcome, time.Since(x.arrived))
-	x.gateway.log.Info("ended", "id", x.info.ID, "outcome", outcome, "reason", reason, "route", name, "account", account,
+	x.gateway.log.Info("ended", "id", x.info.ID, "outcome", outcome, "reason", reason, "route", name, "account", x.accountName(),
 		"configuration", x.configurationVersion, "sends", x.attemptsSent, "attempts", x.possibleRuns, "events", x.relayed.events, "tokens", x.billedTokens(), "ms", time.Since(x.arrived).Milliseconds())
 }
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -25,12 +25,13 @@
 }
 
 // noResponse handles an attempt that may have run and whose response is lost.
-func (x *exchange) noResponse(ctx context.Context, err error) (endpoints.Outcome, action, refusal) {
+func (x *exchange) noResponse(ctx context.Context, a *endpoints.Attempt, err error) (endpoints.Outcome, action, refusal) {
 	x.possibleRuns++
 	if ctx.Err() != nil {
 		return endpoints.Failed, finish, deadlineExceeded
 	}
-	x.gateway.log.Info("answer lost", "id", x.info.ID, "error", err.Error(), "attempts", x.possibleRuns)
+	x.gateway.log.Info("answer lost", "id", x.info.ID, "endpoint", a.Endpoint.ID, "fingerprint", x.fingerprint(), "error", err.Error(), "attempts", x.possibleRuns)
+	x.checkForCrash(ctx, a, err)
 	if x.mayRetry() {
 		return endpoints.Failed, retry, outcomeUnknown
 	}
@@ -75,7 +76,7 @@
 	}
 	if !head.Sealed && response.StatusCode < http.StatusMultipleChoices {
 		conn.Close()
-		return x.noResponse(ctx, errors.WithStack(&UnsealedResponseError{}))
+		return x.noResponse(ctx, a, errors.WithStack(&UnsealedResponseError{}))
 	}
 	x.possibleRuns++
 	serverError := response.StatusCode >= http.StatusInternalServerError
@@ -101,7 +102,8 @@
 		return endpoints.Succeeded, finish, deadlineExceeded
 	}
 	conn.Close()
-	x.gateway.log.Info("answer cut off", "id", x.info.ID, "endpoint", a.Endpoint.ID, "error", err.Error(), "events", x.relayed.events)
+	x.gateway.log.Info("answer cut off", "id", x.info.ID, "endpoint", a.Endpoint.ID, "fingerprint", x.fingerprint(), "error", err.Error(), "events", x.relayed.events)
+	x.checkForCrash(ctx, a, err)
 	if x.route.Kind == route.Resumable && x.mayRetry() || !x.relayed.started && x.mayRetry() {
 		return endpoints.Failed, retry, outcomeUnknown
 	}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -63,6 +63,21 @@
 	return newConn(netConn, p, address), nil
 }
 
+// Probe opens a new connection to an address, even if there are idle ones, and
+// keeps it for a later request. A limit of 0 allows any number of connections.
+func (p *Pool) Probe(ctx context.Context, address string, limit int) error {
+	if !p.acquire(address, limit) {
+		return &LimitError{Address: address}
+	}
+	netConn, err := p.dialer.Dial(ctx, address)
+	if err != nil {
+		p.release(address)
+		return &DialError{Cause: err}
+	}
+	p.putIdle(newConn(netConn, p, address))
+	return nil
+}
+
 // reuse removes idle connections from the pool until it finds a reusable one, which
 // it returns, and closes those that are not reusable. It returns nil if there is
 // no reusable one.
--- a/io/logline/trace/trace.go
+++ b/io/logline/trace/trace.go
@@ -70,6 +70,7 @@
 	{"configuration", ""},
 	{"endpoint", "endpoint"},
 	{"endpoint avoided", "endpoint"},
+	{"endpoint crashed", "endpoint"},
 	{"endpoint missing", "endpoint"},
 	{"endpoint gone", "endpoint"},
 	{"budget drawn", "account"},
