core/quarantine, io/gateway: a request that crashes endpoints is recognized by all VMs

Cause: the gateway kept health by endpoint only. A repeat has a new id and may reach any VM, so nothing connected it to the crashes before (hypothesis 1). The evidence: 19 lost responses at three VMs, one fingerprint, 19 refused connections right after. Not 2: core/suspect does not run here. Not 3: orders, which have one attempt, were as bad.

Change: crashes are attributed to the fingerprint (account, path, body) of the requests whose responses they cost, and shared as rows of the store, one for each incarnation. After two, the fingerprint is quarantined: refused, not run, but for one trial at a time in the whole fleet (at once, after 30 s, after 5 min). A run to its end anywhere lifts it everywhere. It works because what is counted no longer depends on the id, the VM or a process's life.

VMs that restart, or start while the store is away, know it; a popular request beside a mass crash is served again.

--- /dev/null
+++ b/io/gateway/crash_sync.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hawthornspar/core/endpoints"
+	"hawthornspar/core/quarantine"
+)
+
+// Timing of the synchronisation of crashes with the store.
+const (
+	// crashWatchHold is how long the store may hold back the response to a watch, and
+	// crashWatchTimeout when a watch without a response is given up. A VM must learn of
+	// a crash within the time after a disturbance in which rules do not bind it.
+	crashWatchHold    = 2 * time.Second
+	crashWatchTimeout = 2600 * time.Millisecond
+	// crashPause follows changes, so that many crashes at once cost few responses, and
+	// each write.
+	crashPause = 100 * time.Millisecond
+	// crashExpiryPeriod is the time between removals of old crashes.
+	crashExpiryPeriod = 30 * time.Second
+	// maxCrashWrites bounds the changes in one write.
+	maxCrashWrites = 50
+)
+
+// crashSyncer learns the crashes that other VMs have recorded.
+type crashSyncer struct {
+	gateway *Gateway
+	version int64 // store's version from which the next watch continues
+	known   bool  // whether version is known
+	store   dependency
+}
+
+func (c *crashSyncer) loop(ctx context.Context) {
+	c.store.name = "crashes"
+	for ctx.Err() == nil {
+		changed, err := c.step(ctx)
+		c.store.record(c.gateway, err)
+		switch {
+		case err != nil:
+			c.known = c.known && !c.gateway.store.HistoryLost(err)
+			sleep(ctx, jitter(failurePause))
+		case changed:
+			sleep(ctx, crashPause)
+		}
+	}
+}
+
+// step reads all crashes once, and the changes from then on. It reports whether there
+// were any.
+func (c *crashSyncer) step(ctx context.Context) (changed bool, err error) {
+	if !c.known {
+		change, at, err := c.gateway.store.Crashes(ctx)
+		if err != nil {
+			return false, err
+		}
+		c.version, c.known = at.Version, true
+		c.gateway.replaceCrashes(change, at)
+		return true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashWatchTimeout)
+	defer cancel()
+	change, at, err := c.gateway.store.WatchCrashes(ctx, c.version, crashWatchHold)
+	if err != nil {
+		return false, err
+	}
+	c.version = at.Version
+	c.gateway.state.setCrashClock(at.Ms)
+	c.gateway.applyCrashes(change)
+	return len(change.Crashes)+len(change.Trials)+len(change.Removed) > 0, nil
+}
+
+// replaceCrashes applies the complete content of the store.
+func (g *Gateway) replaceCrashes(c quarantine.Change, at StoreTime) {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.state.quarantine.SetStoreClock(at.Ms, time.Now())
+	g.state.quarantine.Replace(c)
+}
+
+// applyCrashes applies what other VMs have recorded.
+func (g *Gateway) applyCrashes(c quarantine.Change) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.quarantine.Quarantined()
+	s.quarantine.Apply(c)
+	if after := s.quarantine.Quarantined(); after != before {
+		g.log.Info("quarantine", "fingerprints", after, "before", before)
+	}
+}
+
+// recordCrash records the crash of an endpoint under a request, and returns the number
+// of crashes under its fingerprint.
+func (g *Gateway) recordCrash(f quarantine.Fingerprint, e *endpoints.Endpoint) int {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	crashes, isNew := g.state.quarantine.RecordCrash(f, e.ID, e.Born, time.Now())
+	if isNew {
+		g.wakeCrashWriter()
+	}
+	return crashes
+}
+
+// confirmCrash records the crash of an endpoint that is missing in the registry, or
+// has started again at the time born, for the requests whose responses it lost. The
+// caller holds the state's lock.
+func (g *Gateway) confirmCrash(endpoint string, born int64) {
+	for _, f := range g.state.quarantine.ConfirmCrash(endpoint, born, time.Now()) {
+		g.metrics.Increment("endpoint_crashes", "registry")
+		g.log.Info("endpoint crashed", "endpoint", endpoint, "fingerprint", f, "restarted", born > 0)
+		g.wakeCrashWriter()
+	}
+}
+
+// wakeCrashWriter makes the writer of crashes look for changes.
+func (g *Gateway) wakeCrashWriter() {
+	select {
+	case g.crashesRecorded <- struct{}{}:
+	default: // it is woken already
+	}
+}
+
+// crashWriter writes the crashes that this VM has recorded to the store.
+type crashWriter struct{ gateway *Gateway }
+
+func (c *crashWriter) loop(ctx context.Context) {
+	expiry := time.NewTicker(crashExpiryPeriod)
+	defer expiry.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-c.gateway.crashesRecorded:
+		case <-expiry.C:
+			c.gateway.state.expireCrashes()
+		case <-ctx.Done():
+			return
+		}
+		c.writeAll(ctx)
+	}
+}
+
+// writeAll writes all changes that are pending.
+func (c *crashWriter) writeAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		pending := c.gateway.state.pendingCrashes(maxCrashWrites)
+		if len(pending) == 0 {
+			return
+		}
+		pause := crashPause
+		if err := c.gateway.store.WriteCrashes(ctx, pending); err != nil {
+			c.gateway.log.V(1).Info("crashes not written", "changes", len(pending), "error", err.Error())
+			pause = jitter(failurePause)
+		} else {
+			c.gateway.state.crashesWritten(len(pending))
+		}
+		sleep(ctx, pause)
+	}
+}
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -12,6 +12,7 @@
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
 	"hawthornspar/core/home"
+	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
 )
 
@@ -52,6 +53,12 @@
 	SetRefusalHeaders(h http.Header, id string, retryAfter time.Duration)
 }
 
+// StoreTime is the store's version and its clock in milliseconds.
+type StoreTime struct {
+	Version int64
+	Ms      int64
+}
+
 // Store is the platform's store. A version says where a watch continues. A
 // watch returns after wait at the latest.
 type Store interface {
@@ -66,6 +73,14 @@
 	// VMs reads the registered VMs, and the store's clock in milliseconds.
 	VMs(context.Context) ([]home.VM, int64, error)
 	Register(context.Context, home.VM) error
+	// Crashes reads the crashes of endpoints and the trials that all VMs know, and
+	// the store's clock in milliseconds.
+	Crashes(context.Context) (quarantine.Change, StoreTime, error)
+	WatchCrashes(ctx context.Context, version int64, wait time.Duration) (quarantine.Change, StoreTime, error)
+	WriteCrashes(context.Context, []quarantine.Write) error
+	// ClaimTrial writes a trial if its row still has the given version; 0 means that
+	// there is none. It returns the trial that the store has then.
+	ClaimTrial(ctx context.Context, next quarantine.Trial, version int64) (current quarantine.Trial, claimed bool, err error)
 	// HistoryLost reports whether an error means that the store no longer has
 	// the changes since a version.
 	HistoryLost(error) bool
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -41,6 +41,7 @@
 	body                 []byte
 	bodyMemory           int64                  // bytes counted for the body in Gateway.bufferedBytes
 	identity             quarantine.Fingerprint // empty until fingerprint is called
+	trial                *quarantine.Trial      // trial of a quarantined request that this one is; nil for none
 
 	reservation  *escrow.Reservation
 	attempted    map[string]bool // endpoints that were chosen for earlier attempts
@@ -65,6 +66,7 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	defer x.settle()
+	defer x.refundTrial()
 	defer x.limitWrites()()
 	last := noEndpoint
 	for {
@@ -115,6 +117,9 @@
 	if x.countUnreachable(last) {
 		return finish, x.finalRefusal(last)
 	}
+	if refused := x.checkQuarantine(ctx); refused != nil {
+		return finish, x.finalRefusal(*refused)
+	}
 	needsRetryBudget := x.attemptsSent > 0 && last != unreachable && last != endpointLeft && last != endpointError
 	if needsRetryBudget && !x.gateway.state.takeRetry(x.service) {
 		return finish, x.finalRefusal(retryBudgetExhausted)
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -10,6 +10,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/home"
+	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
 	"hawthornspar/io/certificate"
 	"hawthornspar/io/storepath"
@@ -30,6 +31,8 @@
 	Expiring        map[string]time.Duration `json:"expiring,omitempty"`
 	RegistryVersion int64                    `json:"registryVersion"`
 	VMs             []home.VM                `json:"vms,omitempty"`
+	Crashes         []quarantine.Crash       `json:"crashes,omitempty"`
+	Trials          []quarantine.Trial       `json:"trials,omitempty"`
 }
 
 // fleetQuery holds the versions that the requesting VM has.
@@ -92,6 +95,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := fleetView{RegistryVersion: s.registryVersion, VMs: s.members}
+	v.Crashes, v.Trials = s.quarantine.Known()
 	if s.routeTable != nil && s.routeTable.Document.Version > configuration {
 		v.Configuration = s.routeTable.Document
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -63,8 +63,9 @@
 	congestion           congestion
 	uplink               uplink
 	processor            processor
-	linkBusy             atomic.Bool // the link is near its capacity
-	closeKeepAlive       atomic.Bool // kept-alive connections are closed because the link is busy
+	linkBusy             atomic.Bool   // the link is near its capacity
+	closeKeepAlive       atomic.Bool   // kept-alive connections are closed because the link is busy
+	crashesRecorded      chan struct{} // wakes the writer of crashes
 	server               *server
 	started              time.Time // when this process started, or a little later
 }
@@ -84,7 +85,7 @@
 func New(s Settings, st Store, d Dialect, p *http1.Pool, m *metrics.Registry, options ...Option) *Gateway {
 	g := &Gateway{
 		settings: s, store: st, dialect: d, pool: p, state: newState(s),
-		log: logr.Discard(), metrics: m, started: time.Now(),
+		log: logr.Discard(), metrics: m, crashesRecorded: make(chan struct{}, 1), started: time.Now(),
 	}
 	g.uplink.backlog.Capacity = s.LinkBytesPerSecond
 	g.reloaded.Store(reloadable(s))
@@ -101,6 +102,9 @@
 	if err := g.metrics.RegisterGauge("configuration_version", func() int64 { return g.state.versions().Configuration }); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterGauge("quarantined_fingerprints", g.state.quarantinedFingerprints); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
@@ -117,6 +121,10 @@
 		budget := &budgetSyncer{gateway: g, group: gr}
 		go budget.loop(background)
 	}
+	crashes := &crashSyncer{gateway: g}
+	go crashes.loop(background)
+	crashWriter := &crashWriter{gateway: g}
+	go crashWriter.loop(background)
 	repayer := &repayer{gateway: g}
 	go repayer.loop(background)
 	peers := &peerListener{gateway: g}
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -8,6 +8,7 @@
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
 	"hawthornspar/core/home"
+	"hawthornspar/core/quarantine"
 	"hawthornspar/core/retrybudget"
 	"hawthornspar/core/route"
 )
@@ -32,6 +33,7 @@
 	ownRate           float64   // client requests per second at this VM
 	otherRates        float64   // client requests per second at the other VMs, as last read
 	random            endpoints.Random
+	quarantine        *quarantine.Table
 }
 
 // globalRandom is the random source of the process.
@@ -44,7 +46,7 @@
 		failureDomain: s.FailureDomain, endpoints: endpoints.NewTable(),
 		groups:  newGroups(s),
 		retries: retrybudget.New(s.Retries),
-		vmCount: defaultVMCount, random: globalRandom{},
+		vmCount: defaultVMCount, random: globalRandom{}, quarantine: quarantine.NewTable(s.Name),
 	}
 }
 
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -205,7 +205,11 @@
 		g.log.Info("registration unreadable", "endpoint", id)
 	}
 	for _, r := range c.Put {
-		if change := s.endpoints.Put(r); change != endpoints.Unchanged {
+		change := s.endpoints.Put(r)
+		if change == endpoints.Restarted {
+			g.confirmCrash(r.ID, r.Born)
+		}
+		if change != endpoints.Unchanged {
 			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String())
 		}
 	}
@@ -213,6 +217,9 @@
 		s.endpoints.Expire(id, time.Now().Add(remaining))
 	}
 	for _, id := range append(c.Removed, c.Unreadable...) {
+		if e := s.endpoints.Get(id); e != nil && !e.Draining && !expiresAt.After(time.Now()) {
+			g.confirmCrash(id, 0)
+		}
 		if s.endpoints.Expire(id, expiresAt) {
 			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(expiresAt))
 		}
