io/endpoint: a second copy of an earlier refusal is no response to a model request

Callers of the product's own interface could be told 'not run, try again' for a request that an engine was running: a late second copy of an earlier 429 on a kept connection counted as the response (REFUSED; the retry then ran at a second engine).

Cause: engines' responses carry no id, and net/http takes what arrives next on a reused connection. Calls of app services had connections of their own already. Change: so have model requests; one transport for both.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -17,15 +17,14 @@
 
 // Timeouts and limits of attempts.
 const (
-	dialTimeout         = time.Second
-	firstEventTimeout   = 60 * time.Second // until a stream's first event
-	nextEventTimeout    = 10 * time.Second // between two events of a stream
-	appTimeout          = 30 * time.Second
-	resumeTimeout       = 2 * time.Second        // for resuming an interrupted stream
-	resumeInterval      = 100 * time.Millisecond // between two requests to resume
-	maxResponseBytes    = 1 << 20                // of an app service
-	maxEventBytes       = 1 << 20
-	maxIdleConnsPerHost = 64
+	dialTimeout       = time.Second
+	firstEventTimeout = 60 * time.Second // until a stream's first event
+	nextEventTimeout  = 10 * time.Second // between two events of a stream
+	appTimeout        = 30 * time.Second
+	resumeTimeout     = 2 * time.Second        // for resuming an interrupted stream
+	resumeInterval    = 100 * time.Millisecond // between two requests to resume
+	maxResponseBytes  = 1 << 20                // of an app service
+	maxEventBytes     = 1 << 20
 )
 
 // Post queues an event for the core.
@@ -69,16 +68,14 @@
 // New returns a client whose run IDs start with the VM's incarnation.
 func New(incarnation string, post Post, log logr.Logger) *Client {
 	d := &dialer{timeout: dialTimeout}
+	// Each request gets its own connection. On a reused one, net/http silently repeats
+	// some requests that fail, which would run a call twice, and a late second copy of
+	// an earlier response would count as the response.
+	transport := &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true}
 	return &Client{
 		incarnation: incarnation, post: post, log: log, cancelFuncs: map[attemptID]context.CancelFunc{},
-		modelClient: &http.Client{Transport: &http.Transport{
-			DialContext: d.dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true,
-		}},
-		// Each call gets its own connection: net/http silently repeats some
-		// requests that fail on a reused connection, which would run a call twice.
-		appClient: &http.Client{Transport: &http.Transport{
-			DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true,
-		}, CheckRedirect: returnRedirect},
+		modelClient: &http.Client{Transport: transport},
+		appClient:   &http.Client{Transport: transport, CheckRedirect: returnRedirect},
 	}
 }
 
