io/endpoint: an error event of an engine does not end a response as complete

Change: an event with 'error' ends the stream as broken, so that the run is resumed or the caller told.

--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -24,7 +24,8 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage *tokenUsage `json:"usage"`
+	Usage *tokenUsage     `json:"usage"`
+	Error json.RawMessage `json:"error"` // set if the run has failed
 }
 
 // tokenUsage is the token usage that the engine reports.
@@ -135,10 +136,11 @@
 
 // handleEvent passes one event on. Events without choices, or with a finish reason
 // and no text, end the response and are held back until the request is settled.
-// handleEvent returns false if the event is malformed or no longer accepted.
+// handleEvent returns false if the event is malformed, reports an error, or is no longer
+// accepted.
 func (a *attempt) handleEvent(data []byte) bool {
 	var c completionChunk
-	if err := json.Unmarshal(data, &c); err != nil {
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Error) > 0 {
 		return false
 	}
 	if c.Usage != nil {
