io/gateway: only a stream of events continues a stream that has begun

Cause: only the status was looked at. Change: a response continues a stream only with status 200 and the media type of events; otherwise the client's stream is broken off.

--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"mime"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -84,7 +85,7 @@
 		x.discardResponse(conn, response, stop)
 		return endpoints.ServerError, retry, endpointError
 	}
-	if x.relayed.started && response.StatusCode != http.StatusOK {
+	if x.relayed.started && !continuesStream(response) {
 		x.discardResponse(conn, response, stop)
 		return endpoints.Succeeded, finish, outcomeUnknown
 	}
@@ -111,6 +112,16 @@
 	return endpoints.Failed, finish, outcomeUnknown
 }
 
+// streamMediaType is the media type of streams of events.
+const streamMediaType = "text/event-stream"
+
+// continuesStream reports whether a response can continue a stream that has begun. An
+// error cannot, whatever its status.
+func continuesStream(r *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return r.StatusCode == http.StatusOK && err == nil && mediaType == streamMediaType
+}
+
 // responseOutcome distinguishes server errors from other complete responses.
 func responseOutcome(r *http.Response) endpoints.Outcome {
 	if r.StatusCode >= http.StatusInternalServerError {
