--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -24,8 +24,8 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage *tokenUsage     `json:"usage"`
-	Error json.RawMessage `json:"error"` // set if the run has failed
+	Usage *tokenUsage `json:"usage"`
+	Error any         `json:"error"` // not nil if the run has failed
 }
 
 // tokenUsage is the token usage that the engine reports.
@@ -140,7 +140,7 @@
 // accepted.
 func (a *attempt) handleEvent(data []byte) bool {
 	var c completionChunk
-	if err := json.Unmarshal(data, &c); err != nil || len(c.Error) > 0 {
+	if err := json.Unmarshal(data, &c); err != nil || c.Error != nil {
 		return false
 	}
 	if c.Usage != nil {
--- a/io/endpoint/stream_test.go
+++ b/io/endpoint/stream_test.go
@@ -19,6 +19,7 @@
 	}{
 		{"ends with its marker", word + "data: [DONE]\n\n", true},
 		{"ends without its marker", word, false},
+		{"names no error", `data: {"error":null,"choices":[{"delta":{"content":"word"}}]}` + "\n\ndata: [DONE]\n\n", true},
 		{"has an error in place of text", word + `data: {"error":{"message":"out of memory"}}` + "\n\ndata: [DONE]\n\n", false},
 		{"has an error beside text", `data: {"error":"x","choices":[{"delta":{"content":"word"}}]}` + "\n\ndata: [DONE]\n\n", false},
 		{"has text that is no event", word + "data: 500 Internal Server Error\n\ndata: [DONE]\n\n", false},
