io/gateway: a resumed stream that repeats events is broken off

Clients could get events twice within one stream (ORDER) when the endpoint that continued it began anew, as one does that does not know Last-Event-Id.

Cause: events of the second endpoint were passed on without a look at their ids. Change: the first event of a resumed stream must be after the last one that was passed on; else the attempt fails like a lost response. The syntax of events has a file of its own. Test: platform/scenarios/resume_test.go, line 'restarts', failed before.

--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -28,6 +28,13 @@
 // Error implements error.
 func (*EventTooLargeError) Error() string { return "the event is too large" }
 
+// RepeatedEventError reports that a resumed stream begins with events that the client
+// has already.
+type RepeatedEventError struct{}
+
+// Error implements error.
+func (*RepeatedEventError) Error() string { return "the resumed stream repeats events" }
+
 // buffers keeps read buffers for reuse.
 var buffers = sync.Pool{New: func() any { b := make([]byte, relayBufferBytes); return &b }}
 
@@ -132,6 +139,7 @@
 	control := http.NewResponseController(x.writer)
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
+	resumedAfter := x.relayed.lastEvent
 	var pending []byte
 	for {
 		n, err := response.Body.Read(*buffer)
@@ -145,6 +153,10 @@
 			lastEnd := searched + found
 			x.gateway.state.recordFirstChunk(a)
 			events := pending[:lastEnd+len(eventEnd)]
+			if repeatsEvents(events, resumedAfter) {
+				return errors.WithStack(&RepeatedEventError{})
+			}
+			resumedAfter = "" // ids increase from here on
 			x.writeHead(response)
 			x.recordEvents(events)
 			x.gateway.countResponseBytes(len(events))
@@ -172,12 +184,6 @@
 	return err
 }
 
-// Syntax of server-sent events.
-var (
-	eventEnd     = []byte("\n\n")
-	eventIDField = []byte("id:")
-)
-
 // recordEvents counts complete events, without those that are only comments, and
 // records the last id.
 func (x *exchange) recordEvents(events []byte) {
@@ -186,19 +192,7 @@
 			x.relayed.events++
 		}
 	}
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		if bytes.HasPrefix(line, eventIDField) {
-			x.relayed.lastEvent = string(bytes.TrimSpace(line[len(eventIDField):]))
-		}
-	}
-}
-
-// onlyComments reports whether an event has no field.
-func onlyComments(event []byte) bool {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if len(line) > 0 && line[0] != ':' {
-			return false
-		}
+	for id := range eventIDs(events) {
+		x.relayed.lastEvent = id
 	}
-	return true
 }
