core/endpoints, io/gateway: what an endpoint says of itself in its responses is obeyed

Endpoints that had said they were leaving went on to get requests until their row said so, and those that wanted nothing for a time got some at once, as neither header was read.

Change: leaving holds for the incarnation whatever the registry says; a pause for the stated time, at most ten minutes; both keep an endpoint from being chosen and a chosen request from being written. After a pause requests return gradually. If all of a service have spoken, requests are refused at once (endpointsPaused, not run) with a Retry-After after the first pause. Log lines name word, endpoint and request; 'sent' counts the endpoints left out; explain shows them.

Tests: core/endpoints/notice_test.go on virtual time; platform/scenarios/ notice_test.go with two VMs, 40 endpoints, the store away, endpoints that start anew.

--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -44,43 +44,56 @@
 // a request, disregarding those in attempted. domain is the VM's own failure
 // domain. Choose returns nil when no other endpoint accepts new requests.
 func (t *Table) Choose(r Request, attempted map[string]bool, domain string, random Random, now time.Time) *Endpoint {
-	e, _ := t.choose(r, attempted, domain, random, now)
-	return e
+	return t.choose(r, attempted, domain, random, now).endpoint
 }
 
 // StartAttempt chooses an endpoint as Choose does and starts an attempt there. It
 // returns nil when there is no endpoint.
 func (t *Table) StartAttempt(r Request, attempted map[string]bool, domain string, random Random, now time.Time) *Attempt {
-	e, preferred := t.choose(r, attempted, domain, random, now)
-	if e == nil {
+	c := t.choose(r, attempted, domain, random, now)
+	if c.endpoint == nil {
 		return nil
 	}
-	return e.startAttempt(r, preferred, now)
+	a := c.endpoint.startAttempt(r, c.isPreferred, now)
+	a.Notices = c.notices
+	return a
 }
 
-// choose implements Choose. It also reports whether the endpoint is the preferred
-// one of the request's prefix.
-func (t *Table) choose(r Request, attempted map[string]bool, domain string, random Random, now time.Time) (best *Endpoint, isPreferred bool) {
-	candidates := t.eligible(r.Service, attempted, now)
+// choice is the result of choosing an endpoint.
+type choice struct {
+	endpoint    *Endpoint // nil for none
+	isPreferred bool      // whether it is the preferred endpoint of the request's prefix
+	notices     Notices
+}
+
+// choose implements Choose.
+func (t *Table) choose(r Request, attempted map[string]bool, domain string, random Random, now time.Time) choice {
+	candidates, notices := t.eligible(r.Service, attempted, now)
+	var best *Endpoint
 	bestCost := 0.0
 	preferred := preferredEndpoint(r, candidates)
 	meanMs := meanFirstChunkMs(candidates)
 	for _, e := range candidates {
-		cost := e.estimateMs(r, e == preferred, domain, now) + e.healthPenaltyMs(meanMs, now) + maxJitterMs*random.Float64()
+		cost := e.estimateMs(r, e == preferred, domain, now) + e.healthPenaltyMs(meanMs, now) + e.returnPenaltyMs(now) + maxJitterMs*random.Float64()
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
-	return best, best != nil && best == preferred
+	return choice{best, best != nil && best == preferred, notices}
 }
 
 // eligible returns the endpoints of a service that accept new requests and are
 // not in attempted. It leaves out those that are currently avoided, unless fewer
-// than half would remain.
-func (t *Table) eligible(service string, attempted map[string]bool, now time.Time) []*Endpoint {
+// than half would remain. It also returns the notices in force.
+func (t *Table) eligible(service string, attempted map[string]bool, now time.Time) ([]*Endpoint, Notices) {
 	var all, healthy []*Endpoint
+	var notices Notices
 	for _, e := range t.byService[service] {
-		if !e.usable(now) || attempted[e.ID] {
+		if !e.usable(now) {
+			notices.count(e, now)
+			continue
+		}
+		if attempted[e.ID] {
 			continue
 		}
 		all = append(all, e)
@@ -89,9 +102,9 @@
 		}
 	}
 	if 2*len(healthy) < len(all) {
-		return all
+		return all, notices
 	}
-	return healthy
+	return healthy, notices
 }
 
 // preferredEndpoint returns the endpoint to which rendezvous hashing assigns the
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -36,12 +36,18 @@
 	firstChunkMs        decayingAverage      // time to first chunk
 	avoidUntil          time.Time            // not chosen before, unless too few endpoints remain
 	expiresAt           time.Time            // accepts no new requests from this time on; zero while registered
+	leavingSince        time.Time            // when the endpoint said that it is leaving; zero if it has not
+	pausedUntil         time.Time            // wants no requests of this VM before
 	blockLastUsed       map[string]time.Time // by ID of a prefix block
 }
 
 // usable reports whether the endpoint accepts new requests.
-func (e *Endpoint) usable(now time.Time) bool {
-	if e.Draining {
+func (e *Endpoint) usable(now time.Time) bool { return e.registered(now) && !e.paused(now) }
+
+// registered reports whether the endpoint accepts new requests according to the
+// registry and to its own word.
+func (e *Endpoint) registered(now time.Time) bool {
+	if e.Draining || e.saysLeaving() {
 		return false
 	}
 	return e.expiresAt.IsZero() || now.Before(e.expiresAt)
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -39,6 +39,7 @@
 	RunningBefore   int   // this VM's requests at the endpoint before the attempt
 	PrefillTokens   int64 // prompt tokens that the endpoint is expected to prefill
 	RegistryVersion int64 // version of the registry by which the endpoint was chosen
+	Notices         Notices
 	startedAt       time.Time
 	prefillEnded    bool
 	ended           bool
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -42,6 +42,9 @@
 	RequestID string // of the request that the response belongs to
 	Sealed    bool   // the endpoint ran the request and this is its response
 	NotRun    bool   // the endpoint proves that it did not run the request
+	Leaving   bool   // the endpoint is leaving
+	// RetryAfter is how long the endpoint wants no requests, if it turned this one away.
+	RetryAfter time.Duration
 }
 
 // Dialect translates between headers and what they state.
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -126,11 +126,11 @@
 	}
 	attempt := x.gateway.state.startAttempt(x.properties, x.attempted)
 	if attempt == nil {
-		return finish, x.finalRefusal(last)
+		return finish, x.finalRefusal(x.pauseRefusal(last))
 	}
 	x.attempted[attempt.Endpoint.ID] = true
 	x.gateway.log.Info("sent", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "service", x.service, "running", attempt.RunningBefore, "uncached", attempt.PrefillTokens,
-		"registry", attempt.RegistryVersion, "left", time.Until(x.deadline).Milliseconds())
+		"registry", attempt.RegistryVersion, "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "left", time.Until(x.deadline).Milliseconds())
 	outcome, next, refused := x.attempt(ctx, attempt)
 	if x.request.Context().Err() != nil {
 		outcome = endpoints.Inconclusive
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -57,6 +57,9 @@
 	// endpointLeft follows an attempt whose endpoint stopped accepting requests
 	// before the request was sent.
 	endpointLeft = refusal{status: http.StatusServiceUnavailable, reason: "endpointLeft", retryAfter: 300 * time.Millisecond}
+	// endpointsPaused ends a request when all endpoints have said that they want none
+	// for some time.
+	endpointsPaused = refusal{status: http.StatusServiceUnavailable, reason: "endpointsPaused"}
 	// misdirected follows an attempt at an address that another endpoint has
 	// now.
 	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", retryAfter: 300 * time.Millisecond}
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -67,6 +67,7 @@
 // for conn.
 func (x *exchange) handleResponse(ctx context.Context, a *endpoints.Attempt, conn *http1.Conn, response *http.Response, stop func() bool) (endpoints.Outcome, action, refusal) {
 	head := x.gateway.dialect.ReadResponse(response.Header)
+	x.obeyNotices(a, response.StatusCode, head)
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		x.discardResponse(conn, response, stop)
--- a/io/logline/trace/trace.go
+++ b/io/logline/trace/trace.go
@@ -71,6 +71,8 @@
 	{"endpoint", "endpoint"},
 	{"endpoint avoided", "endpoint"},
 	{"endpoint crashed", "endpoint"},
+	{"endpoint leaving", "endpoint"},
+	{"endpoint paused", "endpoint"},
 	{"endpoint missing", "endpoint"},
 	{"endpoint gone", "endpoint"},
 	{"budget drawn", "account"},
