soak: requests that crash endpoints, notices, odd entries; refusals written once more

From seed 2000 on schedules also draw: a request that crashes endpoints and comes again at one VM after the other for 6 s and more, endpoints that say they are leaving or want no requests for a time, entries of other writers, refusals written once more, errors after a stream began. Two new checks: sends after the third crash, requests to endpoints that had spoken; each is shown failing and passing on made histories. Schedules of earlier seeds are unchanged.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -59,6 +59,12 @@
 		ctx, disconnect = context.WithTimeout(ctx, disconnectAfter)
 		defer disconnect()
 	}
+	c.exchange(ctx, &q)
+	c.harness.record(q)
+}
+
+// exchange sends a request and fills in the response.
+func (c *caller) exchange(ctx context.Context, q *Request) {
 	q.Sent = time.Now()
 	response := c.client.Send(ctx, standin.ClientRequest{
 		ID: q.ID, Target: q.Target, APIKey: c.harness.apiKey(q.Account), Body: q.Body, PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, Timeout: requestTimeout,
@@ -68,7 +74,6 @@
 		q.Disconnected = q.Ended
 	}
 	q.Status, q.ResponseID, q.Seal, q.ResponseBody, q.Complete = response.Status, response.ID, response.Seal, response.Body, response.Complete
-	c.harness.record(q)
 }
 
 // randomRequest returns the caller's i-th request, with a random account, body
--- a/soak/check.go
+++ b/soak/check.go
@@ -45,6 +45,7 @@
 var checks = []check{
 	duplicateRuns, falseRefusals, wrongResponses, corruptStreams, unrequestedRuns, overspending, runsAfterDrain,
 	staleConfigurations, configurationRollbacks, uncanceledRuns, shutdownLosses, excessRetries, crashes, unservedTargets,
+	excessCrashes, ignoredNotices,
 }
 
 // Check verifies all invariants and returns the violations found.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -51,6 +52,14 @@
 	h.Runs = append(h.Runs, standin.Run{ID: id, Target: target, Endpoint: endpoint, Started: at(sent + 0.05), Ended: at(sent + 0.1), Account: "acme"})
 }
 
+// addLethal adds a request that crashed the endpoint that ran it.
+func addLethal(h *History, id string, sent float64) {
+	addServed(h, id, standin.OrderPrefix, sent, "a2")
+	q := request(h, id)
+	q.Body, q.Status, q.Complete, q.Seal = lethalBody+"1", 502, true, ""
+	h.Runs[len(h.Runs)-1].Body = q.Body
+}
+
 func request(h *History, id string) *Request { return newIndex(h).requests[id] }
 
 // dropRuns removes the runs of a request.
@@ -108,6 +117,19 @@
 		}},
 		{"a crashed process", "running", func(h *History) { h.Crashes = []VMCrash{{VM: "vm1"}} }},
 		{"nothing served after the recovery deadline", "recovery", func(h *History) { q := request(h, "last"); q.Status = 503; dropRuns(h, "last"); q.Seal = "" }},
+		{"a request that is sent on after its third crash", "crashes", func(h *History) {
+			for i := range 7 {
+				addLethal(h, fmt.Sprintf("l%d", i), 1+float64(i)*4)
+			}
+		}},
+		{"a request to an endpoint that had said it is leaving", "notice", func(h *History) {
+			h.Arrivals = []standin.Arrival{{ID: "look", At: at(6), Endpoint: "a1", Notices: standin.Notices{Leaving: true}}, {ID: "late", At: at(18), Endpoint: "a1"}}
+		}},
+		{"requests to an endpoint that wanted none", "notice", func(h *History) {
+			for i, notice := range []string{"4", "", "", ""} {
+				h.Arrivals = append(h.Arrivals, standin.Arrival{ID: "look", At: at(6 + float64(i)), Endpoint: "a1", Notices: standin.Notices{RetryAfter: notice}})
+			}
+		}},
 	} {
 		It("finds "+t.name, func() {
 			h := validHistory()
@@ -141,6 +163,20 @@
 			q.Status, q.Complete = 0, false
 			h.EndpointFaults = []Interval{{at(19), at(21)}}
 		}},
+		{"three more sends after the third crash", func(h *History) {
+			for i := range 6 {
+				addLethal(h, fmt.Sprintf("l%d", i), 1+float64(i)*4)
+			}
+		}},
+		{"a request to an endpoint that said it is leaving, after a restart of the VM", func(h *History) {
+			h.Arrivals = []standin.Arrival{{ID: "look", At: at(6), Endpoint: "a1", Notices: standin.Notices{Leaving: true}}, {ID: "late", At: at(18), Endpoint: "a1"}}
+			h.VMFaults["vm1"] = []Interval{{at(9), at(10)}}
+		}},
+		{"two requests to an endpoint that wanted none", func(h *History) {
+			for i, notice := range []string{"4", "", "", "", ""} {
+				h.Arrivals = append(h.Arrivals, standin.Arrival{ID: "look", At: at(6 + float64(i)*1.5), Endpoint: "a1", Notices: standin.Notices{RetryAfter: notice}})
+			}
+		}},
 	} {
 		It("allows "+t.name, func() {
 			h := validHistory()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -83,6 +84,10 @@
 		return h.configure()
 	case TopUp:
 		return h.topUp(e.Target)
+	case Lethal:
+		j.sendLethal()
+	case OddEntry:
+		return h.store.Put("servers", fmt.Sprintf("odd%d", e.Target), []byte(oddEntries[e.Target%len(oddEntries)]))
 	default:
 		return j.failEndpoint(h.endpoints[e.Target%len(h.endpoints)])
 	}
@@ -193,6 +198,18 @@
 		return j.crash(e)
 	case Leave:
 		return j.drain(e)
+	case SayLeaving:
+		e.standIn.SetNotices(standin.Notices{Leaving: true})
+		time.Sleep(drainDuration)
+		e.standIn.Crash()
+		e.standIn.SetNotices(standin.Notices{})
+		return j.replace(e)
+	case SayPause:
+		e.standIn.SetNotices(standin.Notices{RetryAfter: strconv.FormatFloat(d.Seconds(), 'f', 2, 64)})
+		e.standIn.SetBehaviour(standin.Rejects)
+		time.Sleep(d)
+		e.standIn.SetBehaviour(standin.Answers)
+		e.standIn.SetNotices(standin.Notices{})
 	case Misbehave:
 		e.standIn.SetBehaviour(j.event.Behaviour)
 		time.Sleep(d)
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -103,6 +103,7 @@
 		return err
 	}
 	standIn.Delay = endpointDelay
+	standIn.SetLethal(standin.LethalRequests{Marker: lethalBody, Downtime: lethalDowntime, Restarted: h.restarted})
 	k, address, err := newLink(standIn.Address)
 	if err != nil {
 		return err
@@ -184,6 +185,7 @@
 	defer h.mu.Unlock()
 	for _, e := range h.endpoints {
 		h.history.Runs = append(h.history.Runs, e.standIn.Runs()...)
+		h.history.Arrivals = append(h.history.Arrivals, e.standIn.Arrivals()...)
 	}
 	for _, v := range h.vms {
 		if output, err := h.supervisorDir.Read(v.name + ".log"); err == nil && crashed(output) {
--- a/soak/history.go
+++ b/soak/history.go
@@ -44,6 +44,7 @@
 type History struct {
 	Requests         []Request
 	Runs             []standin.Run
+	Arrivals         []standin.Arrival // at all endpoints, in the order of each
 	ConfigChanges    []ConfigChange
 	Drains           []Drain
 	Shutdowns        []Shutdown
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -36,6 +36,10 @@
 	SilentLink   Kind = "silentLink"   // an endpoint's link carries no bytes
 	Configure    Kind = "configure"    // a marker route is added; beyond maxMarkers the oldest is removed
 	TopUp        Kind = "topUp"        // an account's budget is raised
+	Lethal       Kind = "lethal"       // a request that crashes endpoints is sent to VMs again and again
+	SayLeaving   Kind = "sayLeaving"   // an endpoint says in its responses that it is leaving, stops and is replaced
+	SayPause     Kind = "sayPause"     // an endpoint rejects requests and says that it wants none for a time
+	OddEntry     Kind = "oddEntry"     // another writer leaves an entry in the registry
 )
 
 var kinds = []Kind{
@@ -43,6 +47,21 @@
 	CutReset, CutSilent, CutOneWay, Crash, Reborn, Leave, Misbehave, SlowLink, SilentLink, Configure, TopUp,
 }
 
+// extendedKinds are the kinds from which schedules draw from firstNoticeSeed on.
+var extendedKinds = append(kinds[:len(kinds):len(kinds)], Lethal, Lethal, Lethal, SayLeaving, SayLeaving, SayPause, SayPause, OddEntry)
+
+// firstNoticeSeed is the first seed whose schedule may draw from extendedKinds and
+// noticeBehaviours.
+const firstNoticeSeed = 2000
+
+// kindsOf returns the kinds from which the schedule of a seed draws.
+func kindsOf(seed uint64) []Kind {
+	if seed >= firstNoticeSeed {
+		return extendedKinds
+	}
+	return kinds
+}
+
 var faultyBehaviours = []standin.Behaviour{
 	standin.Rejects, standin.Resets, standin.Fails, standin.AnswersTwice, standin.AnswersEarly, standin.Breaks, standin.Unframed, standin.Hangs,
 }
@@ -55,8 +74,14 @@
 var extendedBehaviours = append(faultyBehaviours[:len(faultyBehaviours):len(faultyBehaviours)],
 	standin.EndlessHead, standin.EndlessEvent, standin.Trickles, standin.Unsealed)
 
+var noticeBehaviours = append(extendedBehaviours[:len(extendedBehaviours):len(extendedBehaviours)],
+	standin.RejectsAgain, standin.NamelessAgain, standin.PlainError, standin.SealedError)
+
 // behavioursOf returns the behaviours from which the schedule of a seed draws.
 func behavioursOf(seed uint64) []standin.Behaviour {
+	if seed >= firstNoticeSeed {
+		return noticeBehaviours
+	}
 	if seed >= firstExtendedSeed {
 		return extendedBehaviours
 	}
@@ -81,7 +106,7 @@
 // the same events. Events may overlap, and are not sorted by time.
 func Schedule(seed uint64, period time.Duration, count int) []Event {
 	r := rand.New(rand.NewPCG(seed, 11))
-	behaviours := behavioursOf(seed)
+	kinds, behaviours := kindsOf(seed), behavioursOf(seed)
 	events := make([]Event, count)
 	for i := range events {
 		events[i] = Event{
