core/suspect: a VM that reports of crashes reach late runs no suspect again

Cause, two gaps with one root, a report slower than the request that it is about: a caller was told before the peers; and a request passed on for its trial was run as any other by a VM that the report had not reached.

'experiment crash' is as before: 2 endpoints lost for each lethal request.

--- a/core/entity/request.go
+++ b/core/entity/request.go
@@ -36,6 +36,9 @@
 	Streamed     bool   // the client receives the response as a stream
 	Forwarded    bool   // forwarded by another VM
 	MayHaveRun   bool   // an endpoint may have run it before it was forwarded
+	// CrashedEndpoints are the names of the endpoints that crashed while they ran the
+	// request or one like it, as the VM that forwarded it knows.
+	CrashedEndpoints []string
 }
 
 // Request is the state of a client's request on the VM that serves it.
--- a/core/outbox/commands.go
+++ b/core/outbox/commands.go
@@ -78,6 +78,9 @@
 	Request    int64
 	To         entity.VM
 	MayHaveRun bool // an endpoint may have run it
+	// CrashedEndpoints are the names of the endpoints that crashed while they ran the
+	// request or one like it.
+	CrashedEndpoints []string
 }
 
 // ChangeDone is the response to inbox.ChangeRequested.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -129,7 +129,7 @@
 	_, quarantined := w.Config.Quarantined.Get(r.Fingerprint)
 	switch {
 	case quarantined:
-		w.Refuse(r, entity.ReasonQuarantined, 0)
+		w.SetPhase(r, entity.PhaseSuspect) // refused once all VMs know of the quarantine
 	case r.BrokenAttempts >= w.Policy.MaxBrokenAttempts:
 		w.Refuse(r, entity.ReasonEndpointFailed, time.Second)
 	case reason != notSent && s.retryTokens < 1:
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -23,7 +23,8 @@
 // System holds suspect requests and runs one trial of a fingerprint at a time.
 type System struct {
 	quarantiner Quarantiner
-	suspects    entity.Table[string, *suspect] // by fingerprint
+	suspects    entity.Table[string, *suspect]      // by fingerprint
+	announced   entity.Table[string, *announcement] // by fingerprint
 }
 
 // suspect is a fingerprint whose requests ran on endpoints when they crashed.
@@ -48,11 +49,13 @@
 // Handle implements world.System.
 func (s *System) Handle(w *world.World, event inbox.Event) {
 	switch e := event.(type) {
+	case inbox.Submitted:
+		s.handleSubmitted(w, e.Submission)
 	case inbox.AttemptEnded:
 		s.handleAttemptEnded(w, e)
 	case inbox.PeerMessage:
 		if m, ok := e.Message.(entity.SuspectReport); ok {
-			s.applyReport(w, m)
+			s.applyReport(w, e.From, m)
 		}
 	}
 }
@@ -71,6 +74,7 @@
 		p, _ := s.suspects.Get(fingerprint)
 		s.advance(w, fingerprint, p)
 	}
+	s.refuseAnnounced(w)
 }
 
 // IsSuspect reports whether a request is suspect and has to wait for a trial.
@@ -79,6 +83,25 @@
 	return ok
 }
 
+// handleSubmitted makes a request that was forwarded for its trial suspect here, even if
+// the report of the crash arrives later.
+func (s *System) handleSubmitted(w *world.World, sub entity.Submission) {
+	if len(sub.CrashedEndpoints) > 0 {
+		s.addCrashes(w, sub.Fingerprint, 1, sub.CrashedEndpoints)
+	}
+}
+
+// addCrashes adds crashes that another VM has seen.
+func (s *System) addCrashes(w *world.World, fingerprint string, crashes int, endpoints []string) {
+	p := s.suspectOf(w, fingerprint)
+	p.crashes = max(p.crashes, crashes)
+	for _, e := range endpoints {
+		if !slices.Contains(p.endpoints, e) {
+			p.endpoints = append(p.endpoints, e)
+		}
+	}
+}
+
 // handleAttemptEnded handles the end of an attempt. A crash of the endpoint makes
 // the request suspect; a complete response in a trial clears the suspicion.
 func (s *System) handleAttemptEnded(w *world.World, e inbox.AttemptEnded) {
@@ -110,6 +133,7 @@
 	}
 	s.report(w, r.Fingerprint, p.crashes, r.Endpoint)
 	if p.crashes >= w.Policy.QuarantineCrashes {
+		s.announce(w, r.Fingerprint)
 		s.quarantine(w, r.Fingerprint)
 		s.quarantiner.Quarantine(w, r.Fingerprint)
 	}
@@ -133,17 +157,17 @@
 	}
 }
 
-// applyReport applies another VM's report of a fingerprint.
-func (s *System) applyReport(w *world.World, m entity.SuspectReport) {
+// applyReport applies another VM's report of a fingerprint, and acknowledges one of a
+// quarantine.
+func (s *System) applyReport(w *world.World, from entity.VM, m entity.SuspectReport) {
 	switch {
 	case m.Crashes >= w.Policy.QuarantineCrashes:
 		s.quarantine(w, m.Fingerprint)
+		s.acknowledge(w, from, m)
 	case m.Crashes == 0:
 		s.clear(w, m.Fingerprint)
 	default:
-		p := s.suspectOf(w, m.Fingerprint)
-		p.crashes = max(p.crashes, m.Crashes)
-		p.endpoints = append(p.endpoints, m.Endpoint)
+		s.addCrashes(w, m.Fingerprint, m.Crashes, []string{m.Endpoint})
 	}
 }
 
@@ -160,7 +184,7 @@
 	w.Config.Quarantined.Put(fingerprint, entity.Quarantine{Fingerprint: fingerprint})
 	w.Log("quarantined", "fingerprint", fingerprint)
 	for _, r := range s.remove(fingerprint) {
-		w.Refuse(r, entity.ReasonQuarantined, 0)
+		s.refuse(w, r)
 	}
 }
 
@@ -179,7 +203,7 @@
 // VM that runs the trials of its fingerprint.
 func (s *System) holdOrForward(w *world.World, r *entity.Request) {
 	if _, quarantined := w.Config.Quarantined.Get(r.Fingerprint); quarantined {
-		w.Refuse(r, entity.ReasonQuarantined, 0)
+		s.refuse(w, r)
 		return
 	}
 	p, ok := s.suspects.Get(r.Fingerprint)
@@ -193,7 +217,7 @@
 		return
 	}
 	r.Phase = entity.PhaseForwarded
-	w.Emit(outbox.Forward{Request: r.ID, To: vm, MayHaveRun: r.PossiblyRun()})
+	w.Emit(outbox.Forward{Request: r.ID, To: vm, MayHaveRun: r.PossiblyRun(), CrashedEndpoints: p.endpoints})
 	w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "forwardedForTrial"})
 }
 
--- /dev/null
+++ b/experiment/crash_test.go
@@ -0,0 +1,56 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/entity"
+	"hawthornspar/core/world"
+)
+
+var _ = Describe("A request that crashes engines", func() {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+		for slow := range 4 {
+			// Guards against another crash by a caller who was told that the request is
+			// quarantined, at a VM that has not heard of it yet.
+			It(fmt.Sprintf("crashes no more once a caller was told so, with messages to r%d %s late", slow, delay), func() {
+				f := New(1, 4, world.DefaultPolicy())
+				f.configureSingleRank()
+				f.addEngines(Engine{Slots: engineSlots, QueueSize: 2, TimePerToken: engineTimePerToken, RestartTime: time.Minute})
+				for _, e := range f.Engines {
+					e.CrashesOn.Put("lethal", true)
+				}
+				f.Table.AddAccount("a", "normal", 1_000_000_000)
+				f.Run(5 * time.Second)
+				f.VMs[slow].MessageDelay = delay
+				submission := entity.Submission{KeyHash: "a", Service: "small", PromptTokens: 80, MaxTokens: 50, Fingerprint: "lethal"}
+				first := &Result{Label: "lethal"}
+				f.Submit(f.VMs[0], submission, Body{OutputTokens: 30}, first)
+				for !first.Resolved && f.Elapsed() < 30*time.Second {
+					f.Run(5 * time.Millisecond)
+				}
+				Expect(first.RefusalReason).To(Equal(entity.ReasonQuarantined))
+				crashes := func() int {
+					n := 0
+					for _, e := range f.Engines {
+						n += e.Crashes
+					}
+					return n
+				}
+				before := crashes()
+				for _, vm := range f.VMs {
+					again := &Result{Label: "lethal"}
+					f.Submit(vm, submission, Body{OutputTokens: 30}, again)
+					f.Run(3 * time.Second)
+					Expect(again.RefusalReason).To(Equal(entity.ReasonQuarantined))
+					Expect(again.NotRun).To(BeTrue())
+				}
+				Expect(crashes()).To(Equal(before))
+				Expect(before).To(Equal(2))
+			})
+		}
+	}
+})
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -23,6 +23,7 @@
 	up               bool          // the process exists, frozen or not
 	frozen           bool          // the process exists but runs no steps
 	TableUnreachable bool          // requests from this VM to the table service time out
+	MessageDelay     time.Duration // additional delay of messages from other VMs
 	events           []inbox.Event // input of the next step
 	stepScheduled    bool
 	lastRequest      int64                                  // number of the latest request
@@ -180,7 +181,7 @@
 	}
 	for _, to := range f.VMs {
 		if to.Name == c.To.Name {
-			f.After(peerLatency, func() { to.post(inbox.PeerMessage{From: from, Message: c.Message}) })
+			f.After(peerLatency+to.MessageDelay, func() { to.post(inbox.PeerMessage{From: from, Message: c.Message}) })
 		}
 	}
 }
@@ -223,7 +224,7 @@
 		f.pending.Delete(requestID{vm.incarnation, c.Request})
 		vm.postAfter(peerLatency, inbox.ForwardEnded{Request: c.Request, Outcome: inbox.OutcomeCompleted})
 		to.lastRequest++
-		s.ID, s.Forwarded, s.MayHaveRun = to.lastRequest, true, c.MayHaveRun
+		s.ID, s.Forwarded, s.MayHaveRun, s.CrashedEndpoints = to.lastRequest, true, c.MayHaveRun, c.CrashedEndpoints
 		f.pending.Put(requestID{to.incarnation, s.ID}, &pendingRequest{result: p.result, vm: to, body: p.body})
 		to.submissions.Put(s.ID, s)
 		f.After(peerLatency, func() { to.post(inbox.Submitted{Submission: s}) })
--- a/io/caller/failure.go
+++ b/io/caller/failure.go
@@ -23,6 +23,10 @@
 // headerMayHaveRun marks a forwarded request that an endpoint may already have run.
 const headerMayHaveRun = "Hawthornspar-May-Have-Run"
 
+// headerCrashedEndpoint names an endpoint that crashed while it ran a forwarded request;
+// one header for each.
+const headerCrashedEndpoint = "Hawthornspar-Crashed-Endpoint"
+
 // errorResponse is the JSON body of an error in the chat-completions protocol.
 type errorResponse struct {
 	Error errorDetail `json:"error"`
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -13,6 +13,7 @@
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
+	"hawthornspar/core/outbox"
 	"hawthornspar/timer"
 )
 
@@ -141,7 +142,10 @@
 	submission.KeyHash = bearerSecretHash(r)
 	submission.Rank = r.Header.Get(HeaderRank)
 	submission.Forwarded = h.forwarded
-	submission.MayHaveRun = h.forwarded && r.Header.Get(headerMayHaveRun) != ""
+	if h.forwarded {
+		submission.MayHaveRun = r.Header.Get(headerMayHaveRun) != ""
+		submission.CrashedEndpoints = r.Header.Values(headerCrashedEndpoint)
+	}
 	s := h.server
 	s.pending.Add(1)
 	defer s.pending.Done()
@@ -188,8 +192,8 @@
 }
 
 // Forward ends a session by sending its request to another VM.
-func (s *Server) Forward(id int64, to entity.VM, mayHaveRun bool) {
-	s.endSession(id, result{kind: resultForwarded, peer: to, mayHaveRun: mayHaveRun})
+func (s *Server) Forward(c outbox.Forward) {
+	s.endSession(c.Request, result{kind: resultForwarded, peer: c.To, mayHaveRun: c.MayHaveRun, crashedEndpoints: c.CrashedEndpoints})
 }
 
 // Join ends a session by letting its callers share the response of the running
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -34,9 +34,11 @@
 	joinedSession *Session
 	peer          entity.VM
 	mayHaveRun    bool // an endpoint may have run the forwarded request
-	billedTokens  int64
-	finalEvents   []streamEvent
-	usage         tokenUsage
+	// crashedEndpoints are those that crashed under the forwarded request.
+	crashedEndpoints []string
+	billedTokens     int64
+	finalEvents      []streamEvent
+	usage            tokenUsage
 }
 
 // tokenUsage is the token usage that the endpoint reported.
--- a/io/caller/writer.go
+++ b/io/caller/writer.go
@@ -232,9 +232,14 @@
 	}
 	r.Header = w.request.Header.Clone()
 	r.Header.Set(HeaderIdempotencyKey, w.requestKey)
+	r.Header.Del(headerMayHaveRun) // only VMs say so
 	if res.mayHaveRun {
 		r.Header.Set(headerMayHaveRun, "true")
 	}
+	r.Header.Del(headerCrashedEndpoint)
+	for _, name := range res.crashedEndpoints {
+		r.Header.Add(headerCrashedEndpoint, name)
+	}
 	trace := &connectionTrace{}
 	response, err := w.server.forwarder.RoundTrip(r.WithContext(trace.attach(r.Context())))
 	if err != nil {
--- a/io/daemon/loop.go
+++ b/io/daemon/loop.go
@@ -92,7 +92,7 @@
 	case outbox.Replay:
 		d.callers.Replay(c.Request, c.Response)
 	case outbox.Forward:
-		d.callers.Forward(c.Request, c.To, c.MayHaveRun)
+		d.callers.Forward(c)
 	}
 }
 
