core/recovery: a recovery that goes on elsewhere overwrites no charges

Change: the key names the incarnation that recovers, and its rows are numbered through all its jobs. A transaction that is sent again keeps its key.

--- a/core/recovery/job.go
+++ b/core/recovery/job.go
@@ -16,7 +16,6 @@
 	charges     entity.Table[entity.ChargeKey, entity.Charge] // copies collected from all VMs
 	grants      []entity.GrantRow                             // not yet returned
 	budgets     entity.Table[string, entity.Row]              // rows of the next grants' budgets, by key
-	batch       int64                                         // number of the next ledger row
 }
 
 // stage is the part of a job that is in progress.
--- a/core/recovery/recovery.go
+++ b/core/recovery/recovery.go
@@ -43,6 +43,7 @@
 	removedRow    entity.Row // row of a removed VM, to adopt
 	adopting      bool       // removedRow is not adopted yet
 	composed      transaction
+	batch         int64 // number of the next ledger row that this incarnation writes
 }
 
 // readKind is the purpose of a read in progress.
@@ -239,12 +240,12 @@
 	if len(j.grants) == 0 {
 		return s.composeFinish(w, j)
 	}
-	return s.composeReturn(j)
+	return s.composeReturn(w, j)
 }
 
 // composeReturn writes the charges that are not yet in the ledger, and returns
 // the tokens that are then left unspent to their budgets.
-func (s *System) composeReturn(j *job) ([]entity.Check, []entity.Put) {
+func (s *System) composeReturn(w *world.World, j *job) ([]entity.Check, []entity.Put) {
 	var checks []entity.Check
 	var puts []entity.Put
 	s.composed = transaction{kind: returnTransaction, grants: len(j.nextGrants())}
@@ -263,7 +264,8 @@
 			entity.Put{Key: entity.GrantKey(j.incarnation, g.Budget), Document: entity.Tombstone{}})
 	}
 	if len(ledger.Charges) > 0 {
-		key := entity.LedgerKey(j.incarnation+"/recovered", j.batch)
+		// Another VM, or an earlier job of this one, may have recovered a part.
+		key := entity.LedgerKey(j.incarnation+"/recovered/"+w.Self.Incarnation, s.batch)
 		puts = append(puts, entity.Put{Key: key, Document: ledger})
 	}
 	return checks, puts
@@ -296,7 +298,7 @@
 // grantsReturned advances the job to the next grants.
 func (s *System) grantsReturned() {
 	j := s.job
-	j.batch++
+	s.batch++
 	j.grants = j.grants[s.composed.grants:]
 	j.budgets = entity.Table[string, entity.Row]{}
 	j.nextAt = time.Time{}
