--- a/cmd/hawthornspar/account.go
+++ b/cmd/hawthornspar/account.go
@@ -32,7 +32,7 @@
 					if err != nil {
 						return err
 					}
-					return createKey(c, args[0], args[1], args[2])
+					return createKey(c, "", args[0], args[1], args[2])
 				},
 			},
 			{Name: "topUp", Usage: "ACCOUNT/BUDGET TOKENS: add prepaid tokens", Action: topUpBudget},
@@ -47,23 +47,23 @@
 	if err != nil {
 		return err
 	}
-	if err := submitChange(c, entry.PutAccount(&wire.Account{Name: args[0], Share: c.Int64("share")})); err != nil {
+	if err := submitPart(c, "account", entry.PutAccount(&wire.Account{Name: args[0], Share: c.Int64("share")})); err != nil {
 		return err
 	}
 	if tokens := c.Int64("tokens"); tokens > 0 {
-		if err := submitChange(c, entry.TopUp(args[0]+"/"+c.String("budget"), tokens)); err != nil {
+		if err := submitPart(c, "topUp", entry.TopUp(args[0]+"/"+c.String("budget"), tokens)); err != nil {
 			return err
 		}
 	}
-	return createKey(c, args[0], c.String("budget"), c.String("rank"))
+	return createKey(c, "key", args[0], c.String("budget"), c.String("rank"))
 }
 
 // createKey creates a key for a budget of the account and prints its secret. Only
-// the secret's hash is sent to the fleet.
-func createKey(c *cli.Command, account, budget, rank string) error {
+// the secret's hash is sent to the fleet. part names the change within its command.
+func createKey(c *cli.Command, part, account, budget, rank string) error {
 	secret, hash := entry.NewSecret()
 	key := &wire.ApiKey{Hash: hash, Account: account, Budget: account + "/" + budget, Rank: rank}
-	if err := submitChange(c, entry.PutAPIKey(key)); err != nil {
+	if err := submitPart(c, part, entry.PutAPIKey(key)); err != nil {
 		return err
 	}
 	fmt.Printf("secret=%s\n", secret)
--- a/cmd/hawthornspar/main.go
+++ b/cmd/hawthornspar/main.go
@@ -94,8 +94,11 @@
 
 // submitChange submits a configuration change and prints the version that it made.
 // With --if-version the change fails unless that version last changed the item.
-func submitChange(c *cli.Command, change *wire.Change) error {
-	request := &wire.ChangeRequest{Operation: c.String("operation"), Change: change}
+func submitChange(c *cli.Command, change *wire.Change) error { return submitPart(c, "", change) }
+
+// submitPart submits one of the changes of a command that makes several.
+func submitPart(c *cli.Command, part string, change *wire.Change) error {
+	request := &wire.ChangeRequest{Operation: operationOf(c.String("operation"), part), Change: change}
 	if expected := c.Int64("if-version"); expected >= 0 {
 		request.Checked, request.Expected = true, expected
 	}
@@ -107,6 +110,15 @@
 	return nil
 }
 
+// operationOf returns the operation of one part of a command. Each part needs its own, as
+// an operation takes effect only once. Without an identifier the client chooses one.
+func operationOf(command, part string) string {
+	if command == "" || part == "" {
+		return command
+	}
+	return command + "/" + part
+}
+
 // arguments returns the command's arguments, or a *UsageError if their number
 // differs from that of names.
 func arguments(c *cli.Command, names ...string) ([]string, error) {
