core/suspect: as many crashes in trials as the policy says

With QuarantineCrashes above 2 no request was ever quarantined, as a crash in a trial set the count to 2. Each crash in a trial counts now.

--- a/core/recovery/recovery.go
+++ b/core/recovery/recovery.go
@@ -81,9 +81,6 @@
 // registration itself depends on this system.
 func (s *System) Bind(registration Registration) { s.registration = registration }
 
-// Busy reports whether any incarnation is left to recover.
-func (s *System) Busy() bool { return len(s.registration.Row().UnrecoveredIncarnations) > 0 }
-
 // Handle implements world.System.
 func (s *System) Handle(w *world.World, event inbox.Event) {
 	switch e := event.(type) {
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -29,7 +29,7 @@
 
 // suspect is a fingerprint whose requests ran on endpoints when they crashed.
 type suspect struct {
-	crashes   int       // 1 for any number of crashes outside a trial, 2 after a crash in a trial
+	crashes   int       // 1 for any number of crashes outside trials, and one for each in a trial
 	endpoints []string  // names of the crashed endpoints
 	since     time.Time // first crash known to this VM
 	trialAt   time.Time // earliest start of the first trial
@@ -127,9 +127,8 @@
 func (s *System) countCrash(w *world.World, r *entity.Request) {
 	p := s.suspectOf(w, r.Fingerprint)
 	p.endpoints = append(p.endpoints, r.Endpoint)
-	p.crashes = max(p.crashes, 1)
-	if r.InTrial {
-		p.crashes = 2
+	if r.InTrial || p.crashes == 0 {
+		p.crashes++
 	}
 	s.report(w, r.Fingerprint, p.crashes, r.Endpoint)
 	if p.crashes >= w.Policy.QuarantineCrashes {
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -174,10 +174,3 @@
 		c.Close()
 	}
 }
-
-// CloseIdle closes the idle connections to an address.
-func (p *Pool) CloseIdle(address string) {
-	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
-		c.Close()
-	}
-}
