io/gateway, platform: one watcher follows each table of the store

The loop that reads a table once and then its changes stood three times, with crashes the third.

No decision changed but one: the first watch of the registry follows its first read at once, not after 0.4 s.

--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -42,6 +42,9 @@
 	Removed []Key
 }
 
+// Empty reports whether nothing changes.
+func (c Change) Empty() bool { return len(c.Crashes)+len(c.Trials)+len(c.Removed) == 0 }
+
 // Write is a change for the store: a crash to add, or a key to remove.
 type Write struct {
 	Crash  *Crash // nil for a removal
--- a/io/gateway/crash_sync.go
+++ b/io/gateway/crash_sync.go
@@ -24,51 +24,28 @@
 	maxCrashWrites = 50
 )
 
-// crashSyncer learns the crashes that other VMs have recorded.
-type crashSyncer struct {
-	gateway *Gateway
-	version int64 // store's version from which the next watch continues
-	known   bool  // whether version is known
-	store   dependency
-}
+// crashTable learns the crashes that other VMs have recorded.
+type crashTable struct{ gateway *Gateway }
 
-func (c *crashSyncer) loop(ctx context.Context) {
-	c.store.name = "crashes"
-	for ctx.Err() == nil {
-		changed, err := c.step(ctx)
-		c.store.record(c.gateway, err)
-		switch {
-		case err != nil:
-			c.known = c.known && !c.gateway.store.HistoryLost(err)
-			sleep(ctx, jitter(failurePause))
-		case changed:
-			sleep(ctx, crashPause)
-		}
+func (c *crashTable) read(ctx context.Context) (int64, error) {
+	change, at, err := c.gateway.store.Crashes(ctx)
+	if err == nil {
+		c.gateway.replaceCrashes(change, at)
 	}
+	return at.Version, err
 }
 
-// step reads all crashes once, and the changes from then on. It reports whether there
-// were any.
-func (c *crashSyncer) step(ctx context.Context) (changed bool, err error) {
-	if !c.known {
-		change, at, err := c.gateway.store.Crashes(ctx)
-		if err != nil {
-			return false, err
-		}
-		c.version, c.known = at.Version, true
-		c.gateway.replaceCrashes(change, at)
-		return true, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, crashWatchTimeout)
-	defer cancel()
-	change, at, err := c.gateway.store.WatchCrashes(ctx, c.version, crashWatchHold)
+func (c *crashTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
+	change, at, err := c.gateway.store.WatchCrashes(ctx, version, crashWatchHold)
 	if err != nil {
-		return false, err
+		return 0, 0, err
 	}
-	c.version = at.Version
 	c.gateway.state.setCrashClock(at.Ms)
 	c.gateway.applyCrashes(change)
-	return len(change.Crashes)+len(change.Trials)+len(change.Removed) > 0, nil
+	if change.Empty() {
+		return at.Version, 0, nil
+	}
+	return at.Version, crashPause, nil
 }
 
 // replaceCrashes applies the complete content of the store.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -111,18 +111,15 @@
 	g.log.Info("started", "incarnation", g.settings.Incarnation, "listen", g.settings.Listen)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	configuration := &configurationSyncer{gateway: g}
-	go configuration.loop(background)
-	registry := &registrySyncer{gateway: g}
-	go registry.loop(background)
+	for _, w := range g.watchers() {
+		go w.loop(background)
+	}
 	members := &memberSyncer{gateway: g}
 	go members.loop(background)
 	for _, gr := range g.state.groups {
 		budget := &budgetSyncer{gateway: g, group: gr}
 		go budget.loop(background)
 	}
-	crashes := &crashSyncer{gateway: g}
-	go crashes.loop(background)
 	crashWriter := &crashWriter{gateway: g}
 	go crashWriter.loop(background)
 	repayer := &repayer{gateway: g}
@@ -142,6 +139,19 @@
 	return nil
 }
 
+// watchers returns a watcher for each table of the store that VMs follow.
+func (g *Gateway) watchers() []*watcher {
+	registry := &dependency{name: "registry"}
+	return []*watcher{
+		{
+			gateway: g, table: &configurationTable{g}, timeout: watchTimeout, store: &dependency{name: "configuration"},
+			onAttempt: func(err error) { g.configurationFailing.Store(err != nil) },
+		},
+		{gateway: g, table: &registryTable{g, registry}, timeout: watchTimeout, store: registry},
+		{gateway: g, table: &crashTable{g}, timeout: crashWatchTimeout, store: &dependency{name: "crashes"}},
+	}
+}
+
 // Reload applies the settings that can change while the process runs: the retry
 // budget, the grace period, the seeds, the store's write rate and the drain
 // notice.
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -65,42 +65,26 @@
 	}
 }
 
-// configurationSyncer keeps the newest configuration in force.
-type configurationSyncer struct {
-	gateway *Gateway
-	version int64 // store's version from which the next watch continues
-	known   bool  // whether version is known
-	store   dependency
-}
-
-func (c *configurationSyncer) loop(ctx context.Context) {
-	c.store.name = "configuration"
-	for ctx.Err() == nil {
-		d, err := c.next(ctx)
-		c.store.record(c.gateway, err)
-		c.gateway.configurationFailing.Store(err != nil)
-		if err != nil {
-			c.known = c.known && !c.gateway.store.HistoryLost(err)
-			sleep(ctx, jitter(failurePause))
-			continue
-		}
-		if d != nil {
-			c.gateway.configure(d)
-		}
-	}
+// configurationTable puts each new configuration in force.
+type configurationTable struct{ gateway *Gateway }
+
+func (c *configurationTable) read(ctx context.Context) (int64, error) {
+	d, version, err := c.gateway.store.Configuration(ctx)
+	c.apply(d)
+	return version, err
+}
+
+func (c *configurationTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
+	d, next, err := c.gateway.store.WatchConfiguration(ctx, version, watchHold)
+	c.apply(d)
+	return next, 0, err
 }
 
-// next returns the next configuration; nil when a watch ends without one.
-func (c *configurationSyncer) next(ctx context.Context) (d *route.Document, err error) {
-	if !c.known {
-		d, c.version, err = c.gateway.store.Configuration(ctx)
-		c.known = err == nil
-		return d, err
+// apply puts a configuration in force, if there is one.
+func (c *configurationTable) apply(d *route.Document) {
+	if d != nil {
+		c.gateway.configure(d)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	d, c.version, err = c.gateway.store.WatchConfiguration(ctx, c.version, watchHold)
-	return d, err
 }
 
 // configure puts a configuration in force if it is newer.
@@ -120,56 +104,37 @@
 	}
 }
 
-// registrySyncer keeps the endpoints up to date.
-type registrySyncer struct {
+// registryTable keeps the endpoints up to date.
+type registryTable struct {
 	gateway *Gateway
-	version int64 // store's version from which the next watch continues
-	known   bool  // whether version is known
-	store   dependency
-}
-
-func (r *registrySyncer) loop(ctx context.Context) {
-	r.store.name = "registry"
-	for ctx.Err() == nil {
-		pause := registryPause
-		err := r.step(ctx)
-		r.store.record(r.gateway, err)
-		if err != nil {
-			r.known = r.known && !r.gateway.store.HistoryLost(err)
-			pause = jitter(failurePause)
-		}
-		sleep(ctx, pause)
+	store   *dependency
+}
+
+func (r *registryTable) read(ctx context.Context) (int64, error) {
+	sent := time.Now()
+	change, version, err := r.gateway.store.Registry(ctx)
+	if err != nil {
+		return 0, err
 	}
+	r.gateway.state.recordRegistryCheck(sent)
+	r.gateway.replaceRegistry(change, version, r.expiryTime())
+	return version, nil
 }
 
-// step reads the complete registry once, and its changes from then on.
-func (r *registrySyncer) step(ctx context.Context) error {
+func (r *registryTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
 	sent := time.Now()
-	if !r.known {
-		change, version, err := r.gateway.store.Registry(ctx)
-		if err != nil {
-			return err
-		}
-		r.version, r.known = version, true
-		r.gateway.state.recordRegistryCheck(sent)
-		r.gateway.replaceRegistry(change, version, r.expiryTime())
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	change, version, err := r.gateway.store.WatchRegistry(ctx, r.version, watchHold)
+	change, next, err := r.gateway.store.WatchRegistry(ctx, version, watchHold)
 	if err != nil {
-		return err
+		return 0, 0, err
 	}
-	r.version = version
 	r.gateway.state.recordRegistryCheck(sent)
-	r.gateway.changeRegistry(change, version, r.expiryTime())
-	return nil
+	r.gateway.changeRegistry(change, next, r.expiryTime())
+	return next, registryPause, nil
 }
 
 // expiryTime returns the time from which an entry that is missing now counts as
 // gone.
-func (r *registrySyncer) expiryTime() time.Time {
+func (r *registryTable) expiryTime() time.Time {
 	now := time.Now()
 	if r.store.lost || now.Sub(r.store.regainedAt) < expiryGrace {
 		return now.Add(expiryGrace)
