io/gateway: a change that the store rejects does not hold up the record of crashes

By reading, not seen: a write that the store refuses for what it says (a key over 200 bytes) would have been sent again for ever, with all later crashes behind it. Such changes are dropped with a log line; others stay until the store takes them.

--- a/io/gateway/crash_sync.go
+++ b/io/gateway/crash_sync.go
@@ -124,13 +124,23 @@
 		if len(pending) == 0 {
 			return
 		}
-		pause := crashPause
-		if err := c.gateway.store.WriteCrashes(ctx, pending); err != nil {
-			c.gateway.log.V(1).Info("crashes not written", "changes", len(pending), "error", err.Error())
-			pause = jitter(failurePause)
-		} else {
-			c.gateway.state.crashesWritten(len(pending))
-		}
-		sleep(ctx, pause)
+		sleep(ctx, c.write(ctx, pending))
+	}
+}
+
+// write writes the oldest pending changes, and returns the pause that follows. Changes
+// that the store rejects are dropped: they would hold up those behind them.
+func (c *crashWriter) write(ctx context.Context, pending []quarantine.Write) time.Duration {
+	err := c.gateway.store.WriteCrashes(ctx, pending)
+	switch {
+	case err == nil:
+		c.gateway.state.crashesWritten(len(pending))
+		return crashPause
+	case c.gateway.store.Rejected(err):
+		c.gateway.log.Info("crashes dropped", "changes", len(pending), "error", err.Error())
+		c.gateway.state.crashesWritten(len(pending))
+		return crashPause
 	}
+	c.gateway.log.V(1).Info("crashes not written", "changes", len(pending), "error", err.Error())
+	return jitter(failurePause)
 }
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -84,6 +84,9 @@
 	// ClaimTrial writes a trial if its row still has the given version; 0 means that
 	// there is none. It returns the trial that the store has then.
 	ClaimTrial(ctx context.Context, next quarantine.Trial, version int64) (current quarantine.Trial, claimed bool, err error)
+	// Rejected reports whether an error means that the store does not accept a request,
+	// however often it is sent.
+	Rejected(error) bool
 	// HistoryLost reports whether an error means that the store no longer has
 	// the changes since a version.
 	HistoryLost(error) bool
