--- a/Makefile
+++ b/Makefile
@@ -48,8 +48,13 @@
 	$(BIN)/experiment crash
 	$(BIN)/experiment affinity
 
-# explore runs the property tests with a new seed, and fuzzes the parser of chat
-# requests.
+# explore runs the property tests with a new seed, and fuzzes what reads bytes from
+# outside. Both are random, so CI runs only their fixed seeds.
 explore:
 	$(GO) test ./experiment -count=1 -timeout 1h -rapid.seed=$$(date +%s) -rapid.checks=2000 -rapid.steps=80
 	$(GO) test ./io/caller -run '^$$' -fuzz FuzzParseChat -fuzztime 30s
+	$(GO) test ./io/http1 -run '^$$' -fuzz FuzzReadResponse -fuzztime 30s
+	$(GO) test ./io/settings -run '^$$' -fuzz FuzzParseGateway -fuzztime 30s
+	$(GO) test ./io/entry/query -run '^$$' -fuzz FuzzParse -fuzztime 30s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeRows -fuzztime 30s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzReadHeaders -fuzztime 30s
