core/quarantine: quarantines outlast many suspects, and only they are passed on between VMs

By reading: with 4,096 newer suspects, as a mass crash of large engines may leave, the oldest went first, a quarantined one too. Now those that are not quarantined go first. The view that VMs exchange while the store is away held all suspects, up to 400 KB a question; now only what is quarantined. Crashes are dated once, when the store's clock becomes known. Tests in table_test.go.

--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -73,9 +73,11 @@
 	readAt time.Time
 }
 
+func (c storeClock) known() bool { return !c.readAt.IsZero() }
+
 // at returns the store's time in milliseconds; 0 if it was never read.
 func (c storeClock) at(now time.Time) int64 {
-	if c.readAt.IsZero() {
+	if !c.known() {
 		return 0
 	}
 	return c.ms + now.Sub(c.readAt).Milliseconds()
@@ -87,7 +89,11 @@
 // SetStoreClock sets the time of the store's clock. It also dates the crashes that
 // were recorded before it was known.
 func (t *Table) SetStoreClock(ms int64, now time.Time) {
+	wasKnown := t.clock.known()
 	t.clock = storeClock{ms, now}
+	if wasKnown {
+		return
+	}
 	for _, s := range t.suspects {
 		for k, c := range s.crashes {
 			if c.StoreMs == 0 {
@@ -138,30 +144,37 @@
 }
 
 // suspectOf returns the suspect with a fingerprint and adds it if there is none. If
-// there are too many, it first forgets the one whose last crash is the oldest.
+// there are too many, it first forgets one.
 func (t *Table) suspectOf(f Fingerprint) *suspect {
 	s := t.suspects[f]
 	if s != nil {
 		return s
 	}
 	if len(t.suspects) >= maxSuspects {
-		t.forget(t.oldest(), false)
+		t.forget(t.leastUseful(), false)
 	}
 	s = &suspect{crashes: map[Key]Crash{}}
 	t.suspects[f] = s
 	return s
 }
 
-// oldest returns the fingerprint whose last crash or trial is the oldest.
-func (t *Table) oldest() Fingerprint {
-	var oldest Fingerprint
-	var oldestMs int64
+// leastUseful returns the fingerprint whose last crash or trial is the oldest, of those
+// that are not quarantined if there are any.
+func (t *Table) leastUseful() Fingerprint {
+	var least Fingerprint
 	for f, s := range t.suspects {
-		if ms := s.lastMs(); oldest == "" || ms < oldestMs {
-			oldest, oldestMs = f, ms
+		if l := t.suspects[least]; l == nil || s.lessUseful(l) {
+			least = f
 		}
 	}
-	return oldest
+	return least
+}
+
+func (s *suspect) lessUseful(than *suspect) bool {
+	if s.quarantined() != than.quarantined() {
+		return than.quarantined()
+	}
+	return s.lastMs() < than.lastMs()
 }
 
 // lastMs returns the store's time of the last crash or trial.
@@ -264,9 +277,13 @@
 	}
 }
 
-// Known returns all crashes and trials, for a VM that cannot reach the store.
-func (t *Table) Known() (crashes []Crash, trials []Trial) {
+// Quarantines returns the crashes and trials of the quarantined fingerprints, for a VM
+// that cannot reach the store.
+func (t *Table) Quarantines() (crashes []Crash, trials []Trial) {
 	for _, s := range t.suspects {
+		if !s.quarantined() {
+			continue
+		}
 		for _, c := range s.crashes {
 			crashes = append(crashes, c)
 		}
@@ -288,7 +305,7 @@
 // Pending returns the oldest changes that are not yet in the store, at most limit;
 // none until the store's clock is known, which dates them.
 func (t *Table) Pending(limit int) []Write {
-	if t.clock.readAt.IsZero() {
+	if !t.clock.known() {
 		return nil
 	}
 	return append([]Write{}, t.writes[:min(limit, len(t.writes))]...)
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -190,6 +190,21 @@
 		Expect(f.rows).To(HaveLen(1))
 	})
 
+	It("passes on what is quarantined to a VM that cannot reach the store", func() {
+		f := newTestFleet(1)
+		t := f.vms[0]
+		t.RecordCrash("sound", "e1", 1, f.now)
+		t.RecordCrash(lethal, "e1", 1, f.now)
+		t.RecordCrash(lethal, "e2", 1, f.now)
+		Expect(f.claim(t, lethal)).To(BeTrue())
+		crashes, trials := t.Quarantines()
+		Expect(crashes).To(HaveLen(2))
+		joined := NewTable("joined")
+		joined.Apply(Change{Crashes: crashes, Trials: trials})
+		Expect(joined.Check(lethal, f.now).Allowed).To(BeFalse())
+		Expect(joined.Check("sound", f.now).Allowed).To(BeTrue())
+	})
+
 	It("tells callers when to return", func() {
 		f := newTestFleet(1)
 		t := f.vms[0]
@@ -240,15 +255,18 @@
 		Expect(f.rows).To(BeEmpty())
 	})
 
-	It("remembers a bounded number of fingerprints, the newest", func() {
+	It("remembers a bounded number of fingerprints, the quarantined and the newest", func() {
 		f := newTestFleet(1)
 		t := f.vms[0]
+		t.RecordCrash(lethal, "e1", 1, f.now)
+		t.RecordCrash(lethal, "e2", 1, f.now)
 		for i := range maxSuspects + 100 {
 			f.now = f.now.Add(time.Millisecond)
 			t.RecordCrash(Fingerprint(fmt.Sprint(i)), "e1", 1, f.now)
 		}
 		Expect(t.suspects).To(HaveLen(maxSuspects))
 		Expect(t.suspects).To(HaveKey(Fingerprint(fmt.Sprint(maxSuspects + 99))))
+		Expect(t.suspects).To(HaveKey(lethal))
 		Expect(len(t.writes)).To(BeNumerically("<=", maxWrites))
 	})
 
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -95,7 +95,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := fleetView{RegistryVersion: s.registryVersion, VMs: s.members}
-	v.Crashes, v.Trials = s.quarantine.Known()
+	v.Crashes, v.Trials = s.quarantine.Quarantines()
 	if s.routeTable != nil && s.routeTable.Document.Version > configuration {
 		v.Configuration = s.routeTable.Document
 	}
