--- /dev/null
+++ b/core/quarantine/clock.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import "time"
+
+// storeClock is a reading of the store's clock.
+type storeClock struct {
+	ms     int64
+	readAt time.Time
+}
+
+func (c storeClock) known() bool { return !c.readAt.IsZero() }
+
+// at returns the store's time in milliseconds; 0 if it was never read.
+func (c storeClock) at(now time.Time) int64 {
+	if !c.known() {
+		return 0
+	}
+	return c.ms + now.Sub(c.readAt).Milliseconds()
+}
+
+// SetStoreClock sets the time of the store's clock. It also dates the crashes that
+// were recorded before it was known.
+func (t *Table) SetStoreClock(ms int64, now time.Time) {
+	wasKnown := t.clock.known()
+	t.clock = storeClock{ms, now}
+	if wasKnown {
+		return
+	}
+	for _, s := range t.suspects {
+		for k, c := range s.crashes {
+			if c.StoreMs == 0 {
+				c.StoreMs = ms
+				s.crashes[k] = c
+			}
+		}
+	}
+	for _, w := range t.writes {
+		if w.Crash != nil && w.Crash.StoreMs == 0 {
+			w.Crash.StoreMs = ms
+		}
+	}
+}
