--- a/cmd/hawthornspar/main.go
+++ b/cmd/hawthornspar/main.go
@@ -106,10 +106,13 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("accepted version=%d\n", version)
+	printAccepted(version)
 	return nil
 }
 
+// printAccepted prints the version of a change that was accepted.
+func printAccepted(version int64) { fmt.Printf("accepted version=%d\n", version) }
+
 // operationOf returns the operation of one part of a command. Each part needs its own, as
 // an operation takes effect only once. Without an identifier the client chooses one.
 func operationOf(command, part string) string {
--- a/cmd/hawthornspar/query.go
+++ b/cmd/hawthornspar/query.go
@@ -98,11 +98,10 @@
 			if err != nil {
 				return err
 			}
-			item, err := command.Change(client(c))
-			if err != nil {
-				return err
+			if command.Drain != nil {
+				return drain(c, command.Drain.Endpoint)
 			}
-			return submitChange(c, item)
+			return submitChange(c, command.Change())
 		},
 	}
 }
--- a/cmd/hawthornspar/resources.go
+++ b/cmd/hawthornspar/resources.go
@@ -99,18 +99,23 @@
 	}
 }
 
-// drainEndpoint reads an endpoint and submits it marked as draining. A change to the
-// endpoint made in between is overwritten unless --if-version is given.
+// drainEndpoint drains the endpoint that the arguments name.
 func drainEndpoint(_ context.Context, c *cli.Command) error {
 	args, err := arguments(c, "NAME")
 	if err != nil {
 		return err
 	}
-	item, err := client(c).Drain(args[0])
+	return drain(c, args[0])
+}
+
+// drain sets an endpoint to draining and prints the version of the change.
+func drain(c *cli.Command, name string) error {
+	version, err := client(c).Drain(name, c.String("operation"))
 	if err != nil {
 		return err
 	}
-	return submitChange(c, item)
+	printAccepted(version)
+	return nil
 }
 
 func quarantineCommand() *cli.Command {
--- a/io/entry/changes.go
+++ b/io/entry/changes.go
@@ -4,6 +4,8 @@
 	"crypto/rand"
 	"encoding/hex"
 
+	"github.com/pkg/errors"
+
 	"hawthornspar/io/caller"
 	"hawthornspar/io/wire"
 )
@@ -56,18 +58,39 @@
 	return &wire.Change{Entity: &wire.Change_Quarantine{Quarantine: &wire.Quarantine{Fingerprint: fingerprint, Released: true}}}
 }
 
-// Drain returns the change that sets an endpoint to draining. It reads the
-// endpoint's other settings from the configuration in force.
-func (c *Client) Drain(name string) (*wire.Change, error) {
+// maxDrainTries bounds the tries of a drain that other changes of the endpoint come
+// before.
+const maxDrainTries = 5
+
+// Drain sets an endpoint to draining and returns the version of that change. Another
+// operator's change of the endpoint that is made meanwhile is kept.
+func (c *Client) Drain(name, operation string) (int64, error) {
+	var conflict *ConflictError
+	for range maxDrainTries {
+		e, version, err := c.endpoint(name)
+		if err != nil {
+			return 0, err
+		}
+		e.Leaving = true
+		changed, err := c.Change(&wire.ChangeRequest{Operation: operation, Change: PutEndpoint(e), Checked: true, Expected: version})
+		if !errors.As(err, &conflict) {
+			return changed, err
+		}
+	}
+	return 0, conflict
+}
+
+// endpoint returns an endpoint of the configuration in force, and the version that last
+// changed it.
+func (c *Client) endpoint(name string) (*wire.Endpoint, int64, error) {
 	configuration, err := c.Config()
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	for _, item := range configuration.Items {
 		if e := item.GetEndpoint(); e.GetName() == name {
-			e.Leaving = true
-			return PutEndpoint(e), nil
+			return e, item.GetVersion(), nil
 		}
 	}
-	return nil, &RejectedError{Message: "no endpoint " + name}
+	return nil, 0, &RejectedError{Message: "no endpoint " + name}
 }
--- a/io/entry/query/run.go
+++ b/io/entry/query/run.go
@@ -153,13 +153,11 @@
 	return rows
 }
 
-// Change returns the configuration change that a command makes.
-func (c *Command) Change(fleet *entry.Client) (*wire.Change, error) {
-	switch {
-	case c.TopUp != nil:
-		return entry.TopUp(c.TopUp.Budget, c.TopUp.Tokens), nil
-	case c.Drain != nil:
-		return fleet.Drain(c.Drain.Endpoint)
+// Change returns the configuration change that a command makes. A drain has none, as
+// it depends on the endpoint's settings in force.
+func (c *Command) Change() *wire.Change {
+	if c.TopUp != nil {
+		return entry.TopUp(c.TopUp.Budget, c.TopUp.Tokens)
 	}
-	return entry.Release(c.Release.Fingerprint), nil
+	return entry.Release(c.Release.Fingerprint)
 }
