--- a/cmd/hawthornspar/resources.go
+++ b/cmd/hawthornspar/resources.go
@@ -108,9 +108,10 @@
 	return drain(c, args[0])
 }
 
-// drain sets an endpoint to draining and prints the version of the change.
+// drain sets an endpoint to draining and prints the version of the change. With
+// --if-version it fails unless that version last changed the endpoint.
 func drain(c *cli.Command, name string) error {
-	version, err := client(c).Drain(name, c.String("operation"))
+	version, err := submitDrain(client(c), c, name)
 	if err != nil {
 		return err
 	}
@@ -118,6 +119,13 @@
 	return nil
 }
 
+func submitDrain(fleet *entry.Client, c *cli.Command, name string) (int64, error) {
+	if expected := c.Int64("if-version"); expected >= 0 {
+		return fleet.DrainIf(expected, name, c.String("operation"))
+	}
+	return fleet.Drain(name, c.String("operation"))
+}
+
 func quarantineCommand() *cli.Command {
 	return &cli.Command{
 		Name: "quarantine", Usage: "manage quarantined requests, which crashed endpoints",
--- a/io/entry/changes.go
+++ b/io/entry/changes.go
@@ -67,19 +67,31 @@
 func (c *Client) Drain(name, operation string) (int64, error) {
 	var conflict *ConflictError
 	for range maxDrainTries {
-		e, version, err := c.endpoint(name)
-		if err != nil {
-			return 0, err
-		}
-		e.Leaving = true
-		changed, err := c.Change(&wire.ChangeRequest{Operation: operation, Change: PutEndpoint(e), Checked: true, Expected: version})
+		version, err := c.DrainIf(AnyVersion, name, operation)
 		if !errors.As(err, &conflict) {
-			return changed, err
+			return version, err
 		}
 	}
 	return 0, conflict
 }
 
+// AnyVersion stands for the version that an endpoint has when it is read.
+const AnyVersion = -1
+
+// DrainIf sets an endpoint to draining if it was last changed by the given version, and
+// returns the version of that change.
+func (c *Client) DrainIf(expected int64, name, operation string) (int64, error) {
+	e, version, err := c.endpoint(name)
+	if err != nil {
+		return 0, err
+	}
+	if expected == AnyVersion {
+		expected = version
+	}
+	e.Leaving = true
+	return c.Change(&wire.ChangeRequest{Operation: operation, Change: PutEndpoint(e), Checked: true, Expected: expected})
+}
+
 // endpoint returns an endpoint of the configuration in force, and the version that last
 // changed it.
 func (c *Client) endpoint(name string) (*wire.Endpoint, int64, error) {
--- a/io/entry/drain_test.go
+++ b/io/entry/drain_test.go
@@ -91,6 +91,18 @@
 		})
 	}
 
+	It("fails if another version than the stated one last changed the endpoint", func() {
+		vm := &fakeVM{endpoint: &wire.Endpoint{Name: "engine1"}, version: 7}
+		server := httptest.NewServer(vm)
+		defer server.Close()
+		client := New([]string{strings.TrimPrefix(server.URL, "http://")}, "secret")
+		_, err := client.DrainIf(6, "engine1", "")
+		var conflict *ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+		Expect(vm.endpoint.Leaving).To(BeFalse())
+		Expect(client.DrainIf(7, "engine1", "")).To(Equal(int64(8)))
+	})
+
 	It("names an endpoint that does not exist", func() {
 		server := httptest.NewServer(&fakeVM{endpoint: &wire.Endpoint{Name: "engine1"}})
 		defer server.Close()
