--- a/soak/check.go
+++ b/soak/check.go
@@ -147,6 +147,18 @@
 	return text
 }
 
+// withoutComments returns the events of a stream without those that are only a comment,
+// which an endpoint may send at any time and which are no part of the response.
+func withoutComments(stream string) string {
+	var kept strings.Builder
+	for event := range strings.SplitAfterSeq(stream, "\n\n") {
+		if !strings.HasPrefix(event, ":") {
+			kept.WriteString(event)
+		}
+	}
+	return kept.String()
+}
+
 // corruptStreams finds streams that are not a prefix of the complete stream, and
 // truncated ones that look complete.
 func corruptStreams(x *index) (found []Violation) {
@@ -154,8 +166,8 @@
 		if q.Status != 200 || !streaming(q.Target) {
 			continue
 		}
-		complete := completeStream(q.ID)
-		if q.Complete && q.ResponseBody != complete || !strings.HasPrefix(complete, q.ResponseBody) {
+		complete, events := completeStream(q.ID), withoutComments(q.ResponseBody)
+		if q.Complete && events != complete || !strings.HasPrefix(complete, events) {
 			found = append(found, newViolation("stream", "%s got %q", q.ID, q.ResponseBody))
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -90,6 +90,13 @@
 			q := request(h, "stream")
 			q.ResponseBody, q.Complete = standin.StreamEvent("stream", 2), false
 		}},
+		{"a stream that has text besides its events", "stream", func(h *History) {
+			q := request(h, "stream")
+			q.ResponseBody, q.Complete = standin.StreamEvent("stream", 1)+"the engine failed\n\n", false
+		}},
+		{"a stream that has comments in place of its last events and looks complete", "stream", func(h *History) {
+			request(h, "stream").ResponseBody = standin.StreamEvent("stream", 1) + ": still here\n\n"
+		}},
 		{"a run without a request", "asked for", func(h *History) { h.Runs[0].ID = "smuggled" }},
 		{"a changed body", "asked for", func(h *History) { h.Runs[1].Body = "other" }},
 		{"an API key passed on to an endpoint", "account", func(h *History) { h.Runs[1].APIKey = "k" }},
@@ -163,6 +170,9 @@
 			q.Status, q.Complete = 0, false
 			h.EndpointFaults = []Interval{{at(19), at(21)}}
 		}},
+		{"comments between the events of a stream", func(h *History) {
+			request(h, "stream").ResponseBody = ": still here\n\n" + completeStream("stream") + ": still here\n\n"
+		}},
 		{"three more sends after the third crash", func(h *History) {
 			for i := range 6 {
 				addLethal(h, fmt.Sprintf("l%d", i), 1+float64(i)*4)
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -74,6 +74,7 @@
 	standIn     *standin.Endpoint
 	link        *link.Link
 	address     string // of the link
+	draining    bool   // as last registered
 }
 
 // New starts the stand-ins and writes the VMs' settings files.
@@ -115,6 +116,9 @@
 
 // register writes an endpoint's registration with the address of its link.
 func (h *Harness) register(e *endpoint, draining bool) error {
+	h.mu.Lock()
+	e.draining = draining
+	h.mu.Unlock()
 	return h.store.RegisterAt(e.service, e.standIn, e.address, draining)
 }
 
--- a/soak/lethal.go
+++ b/soak/lethal.go
@@ -55,13 +55,18 @@
 	}
 }
 
-// restarted registers an endpoint that has started again after a crash.
+// restarted registers an endpoint that has started again after a crash. One that was
+// draining goes on draining.
 func (h *Harness) restarted(s *standin.Endpoint) {
 	for _, e := range h.endpoints {
-		if e.standIn == s {
-			if err := h.register(e, false); err != nil {
-				fmt.Fprintln(h.options.Out, err)
-			}
+		if e.standIn != s {
+			continue
+		}
+		h.mu.Lock()
+		draining := e.draining
+		h.mu.Unlock()
+		if err := h.register(e, draining); err != nil {
+			fmt.Fprintln(h.options.Out, err)
 		}
 	}
 }
