--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -227,7 +227,9 @@
 const crashDelay = 5 * time.Millisecond
 
 // event returns one event of the answer to a request.
-func event(attempt string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, attempt, n) }
+func event(attempt string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, attempt, n)
+}
 
 // complete returns the whole answer to a request.
 func complete(attempt string, events int) string {
