--- a/review/standin/fatal.go
+++ b/review/standin/fatal.go
@@ -109,14 +109,14 @@
 	return list + own + ":100"
 }
 
-// hotTenant is how many times its usual the tenant sends; the site file has 7.5.
-const hotTenant = 4
+// hotTenant is how many times its usual the tenant sends; the site file has up to 7.5.
+const hotTenant = 7
 
 // playPaused: runners that are full turn requests away with Retry-After, while one
 // request crashes each runner that begins to run it.
 func playPaused(c *caseRun) (int, error) {
 	const fatalBody = "the request that crashes runners"
-	retryAfter := "1"
+	retryAfter := "2"
 	if os.Getenv("PAUSE") == "0" { // to show what the fault depends on
 		retryAfter = ""
 	}
