--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -74,14 +76,27 @@
 	if c.store, err = newStore(loopback(1)); err != nil {
 		return cannotRun, err
 	}
-	defer func() {
-		for _, v := range c.vms {
-			v.kill()
-		}
-	}()
+	defer c.killVMs()
+	go c.endOnSignal()
 	return cases[name](c)
 }
 
+func (c *caseRun) killVMs() {
+	for _, v := range c.vms {
+		v.kill()
+	}
+}
+
+// endOnSignal ends the processes that were started when this one is told to end.
+func (c *caseRun) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	c.killVMs()
+	os.RemoveAll(c.dir)
+	os.Exit(cannotRun)
+}
+
 // startVMs starts machines and waits until they are ready and in touch.
 func (c *caseRun) startVMs(count int) error {
 	vms, err := newVMs(count, c.dir, c.store.address)
