--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -153,7 +153,7 @@
 	return response.StatusCode, time.Duration(seconds * float64(time.Second))
 }
 
-// playOrder: one of seven runners of the order service fails part of its requests with
+// playOrder: one of eight runners of the order service fails part of its requests with
 // a 503 that does not say that the request has not run.
 func playOrder(c *caseRun) (int, error) {
 	config := configuration(2, 4)
@@ -166,7 +166,7 @@
 		return cannotRun, fmt.Errorf("no configuration")
 	}
 	b := &book{ran: map[string]int{}}
-	for i := range 7 {
+	for i := range 8 {
 		d := &desk{name: fmt.Sprintf("i-desk-%d", i), store: c.store, record: c.record, book: b}
 		if i == 0 && c.trouble {
 			d.failEvery = 3
