quarantine: a run refutes a crash only by passing its progress

Cause: recordBegun took the first event for proof that all parts are sound, and suspectFeatures left them out of the crash that followed.

Evidence: the log lines of crashes said begun=true without the parts in the report; with BEGUN=0 (crash before the event) the case holds.

Change: a crash has a progress for each feature, the furthest of the requests with it (if the part is the cause, this one crashed the endpoint). Only a run that went on after the crash and passed that progress refutes it: complete and as long, or twice as far and 50 ms more. Six complete runs refute too (a common first part is caught at any progress). Further crashes ask for two runs more each, so that one lucky run does not clear a part. Four crashes quarantine where responses had begun, two where not, and they settle longer the further they had come; of a burst of crashes, most of which are without the feature, one counts. The feature with the largest surplus of crashes over sound runs explains them. Errors no longer count for parts.

Existing checks changed: "costs a bounded report" bounds bytes instead of a number of features (that is gone), and expects what is left out to be counted; the test fleet's settle waits for the table's own settle time. RecordSound, RecordCrash take a Run.

--- a/cmd/hawthornspard/quarantine.go
+++ b/cmd/hawthornspard/quarantine.go
@@ -52,7 +52,8 @@
 	if q.NextTrial >= 0 {
 		next = "in " + q.NextTrial.Round(time.Second).String()
 	}
-	line := fmt.Sprintf("%s crashes=%s reportedBy=%s trials=%d nextTrial=%q", q.Feature, strings.Join(crashes, ","), strings.Join(q.Reporters, ","), q.Trials, next)
+	line := fmt.Sprintf("%s crashes=%s bytes=%d afterMs=%d refuted=%d soundRuns=%d reportedBy=%s trials=%d nextTrial=%q", q.Feature, strings.Join(crashes, ","),
+		q.Caught.Bytes, q.Caught.Ms, q.Refuted, q.SoundRuns, strings.Join(q.Reporters, ","), q.Trials, next)
 	if q.LastTrial != "" {
 		line += " lastTrialAt=" + q.LastTrial
 	}
@@ -79,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	lift := quarantine.Sound{Feature: feature, VM: quarantine.OperatorName, StoreMs: nowMs}
+	lift := quarantine.Lift(feature, nowMs)
 	return store.WriteCrashes(ctx, []quarantine.Write{{Sound: &lift}})
 }
 
--- a/core/quarantine/clock.go
+++ b/core/quarantine/clock.go
@@ -42,5 +42,8 @@
 			w.Crash.StoreMs = ms
 		}
 	}
+	for _, s := range t.suspects {
+		s.ordered = nil
+	}
 	t.unjudged = true
 }
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,12 +10,12 @@
 	// crashLimit is the number of crashes after which a feature is quarantined: one
 	// endpoint may have crashed for another reason.
 	crashLimit = 2
+	// begunCrashLimit is the same for a part of a prompt, if the responses to its requests
+	// had begun: most of the requests that an endpoint runs have.
+	begunCrashLimit = 4
 	// shortestRestart is less than an endpoint needs to start anew, and more than the
 	// reports of one crash lie apart.
 	shortestRestart = time.Second
-	// maxReportedFeatures bounds the features in one VM's report of a crash, and with it
-	// the size of its row.
-	maxReportedFeatures = 512
 )
 
 // Incarnation is one life of an endpoint's process.
@@ -30,6 +31,9 @@
 	VM       string // name of the VM that reports
 	StoreMs  int64  // time of the crash on the store's clock; 0 until that is known
 	Features []Feature
+	// Caught is the progress of the request with a feature that had come furthest. It lacks
+	// features without a response that had begun.
+	Caught map[Feature]Progress `json:",omitempty"`
 }
 
 // Key returns the key of a report.
@@ -38,8 +42,17 @@
 // incident is a crash as reported by all VMs.
 type incident struct {
 	Incarnation
-	reports map[string]Crash // by VM
-	atMs    int64            // earliest reported time on the store's clock; 0 if unknown
+	reports map[string]Crash     // by VM
+	caught  map[Feature]Progress // the furthest of all reports
+	atMs    int64                // earliest reported time on the store's clock; 0 if unknown
+}
+
+// add adds a VM's report, or replaces an earlier one.
+func (i *incident) add(c Crash) {
+	i.reports[c.VM] = c
+	for _, f := range c.Features {
+		i.caught[f] = i.caught[f].furthest(c.Caught[f])
+	}
 }
 
 // date takes the time of a report.
@@ -51,12 +64,8 @@
 
 // names reports whether a report names a feature.
 func (i *incident) names(f Feature) bool {
-	for _, r := range i.reports {
-		if slices.Contains(r.Features, f) {
-			return true
-		}
-	}
-	return false
+	_, ok := i.caught[f]
+	return ok
 }
 
 // runningAt returns the incarnation that crashed at a time on the store's clock, if this
@@ -73,16 +82,15 @@
 	}
 }
 
-// addCrash adds a VM's report, or adds to an earlier one.
+// addCrash adds a VM's report, or replaces an earlier one.
 func (t *Table) addCrash(c Crash) {
 	i := t.incidents[c.Incarnation]
 	if i == nil {
 		t.makeRoom()
-		i = &incident{Incarnation: c.Incarnation, reports: map[string]Crash{}}
+		i = &incident{Incarnation: c.Incarnation, reports: map[string]Crash{}, caught: map[Feature]Progress{}}
 		t.incidents[c.Incarnation] = i
 	}
-	c.Features = appendNew(i.reports[c.VM].Features, c.Features)
-	i.reports[c.VM] = c
+	i.add(c)
 	i.date(c.StoreMs)
 	for _, f := range c.Features {
 		t.suspectOf(f).accuse(i)
@@ -93,9 +101,10 @@
 // removeIncident forgets a crash.
 func (t *Table) removeIncident(i *incident) {
 	delete(t.incidents, i.Incarnation)
-	for _, r := range i.reports {
-		t.withdraw(i, r.Features)
-	}
+	t.own.forget(i.Incarnation)
+	features := slices.Collect(maps.Keys(i.caught))
+	clear(i.caught)
+	t.withdraw(i, features)
 	t.unjudged = true
 }
 
@@ -110,18 +119,23 @@
 	if len(i.reports) == 0 {
 		delete(t.incidents, in)
 	}
-	t.withdraw(i, slices.DeleteFunc(slices.Clone(features), i.names))
+	clear(i.caught)
+	for _, r := range i.reports {
+		i.add(r)
+	}
+	t.withdraw(i, features)
 	t.unjudged = true
 }
 
-// withdraw removes a crash from the evidence against features.
+// withdraw removes a crash from the evidence against those of the given features that no
+// report of it names any more.
 func (t *Table) withdraw(i *incident, features []Feature) {
 	for _, f := range features {
 		s := t.suspects[f]
-		if s == nil {
+		if s == nil || i.names(f) {
 			continue
 		}
-		delete(s.incidents, i.Incarnation)
+		s.acquit(i)
 		if s.unused() {
 			delete(t.suspects, f)
 		}
--- a/core/quarantine/day_test.go
+++ b/core/quarantine/day_test.go
@@ -18,9 +18,11 @@
 	endpoints []*dayEndpoint
 	perSecond float64 // sound requests
 	accounts  int
-	documents int                              // of each account
-	deadly    func(at time.Duration) []Feature // parts of a deadly request that is sent now; nil for none
-	turns     Feature                          // a part of sound requests that is deadly from turnsAt on
+	documents int                                      // of each account
+	deadly    func(at time.Duration) []Feature         // parts of a deadly request that is sent now; nil for none
+	moment    func(length time.Duration) time.Duration // of the crash by a deadly part, after the response's first event
+	lucky     float64                                  // share of the runs with a deadly part that are sound
+	turns     Feature                                  // a part of sound requests that is deadly from turnsAt on
 	turnsAt   time.Duration
 	crashing  func(at time.Duration) []int // endpoints that crash by themselves now
 	start     time.Time
@@ -38,14 +40,29 @@
 }
 
 type dayRun struct {
-	vm       *Table
-	features []Feature
-	deadly   []Feature
-	begins   time.Time
-	ends     time.Time
-	begun    bool
+	vm         *Table
+	features   []Feature
+	deadly     []Feature
+	begins     time.Time
+	ends       time.Time
+	crashes    time.Time // zero for never
+	checkpoint Progress  // the next one
+}
+
+// at returns what has become of the run by now.
+func (r *dayRun) at(now time.Time) Run {
+	run := Run{Features: r.features, Request: "id", Ended: !now.Before(r.ends)}
+	if ms := now.Sub(r.begins).Milliseconds(); ms >= 0 {
+		run.Reached = Progress{Bytes: dayEventBytes * (1 + ms/dayEventMs), Ms: ms}
+	}
+	return run
 }
 
+const (
+	dayEventBytes = 50
+	dayEventMs    = 30
+)
+
 const (
 	dayTick     = 10 * time.Millisecond
 	syncPeriod  = 100 * time.Millisecond // how often VMs share what they know
@@ -57,7 +74,8 @@
 	d := &day{
 		testFleet: newTestFleet(vms), random: rand.New(rand.NewSource(seed)), perSecond: 4 * float64(endpoints), accounts: 10, documents: 40,
 		deadly: func(time.Duration) []Feature { return nil }, crashing: func(time.Duration) []int { return nil },
-		sends: map[Feature][]time.Duration{}, crashedAt: map[Feature][]time.Duration{},
+		moment: func(time.Duration) time.Duration { return -dayTick },
+		sends:  map[Feature][]time.Duration{}, crashedAt: map[Feature][]time.Duration{},
 	}
 	for i := range endpoints {
 		d.endpoints = append(d.endpoints, &dayEndpoint{id: fmt.Sprintf("e%d", i)})
@@ -130,42 +148,38 @@
 		d.sends[f] = append(d.sends[f], d.at())
 	}
 	begins := d.now.Add(time.Duration(50+d.random.Intn(600)) * time.Millisecond)
-	ends := begins.Add(time.Duration(500+d.random.Intn(2_500)) * time.Millisecond)
-	e.runs = append(e.runs, &dayRun{vm: vm, features: features, deadly: deadly, begins: begins, ends: ends})
+	length := time.Duration(500+d.random.Intn(2_500)) * time.Millisecond
+	r := &dayRun{vm: vm, features: features, deadly: deadly, begins: begins, ends: begins.Add(length), checkpoint: Progress{}.NextCheckpoint()}
+	if deadly != nil && d.random.Float64() >= d.lucky {
+		r.crashes = begins.Add(d.moment(length))
+	}
+	e.runs = append(e.runs, r)
 }
 
 // run lets the requests at an endpoint go on.
 func (d *day) run(e *dayEndpoint) {
 	for _, r := range e.runs {
-		if r.begun || d.now.Before(r.begins) {
-			continue
-		}
-		if r.deadly != nil {
+		if !r.crashes.IsZero() && !d.now.Before(r.crashes) {
 			for _, f := range r.deadly {
 				d.crashedAt[f] = append(d.crashedAt[f], d.at())
 			}
 			d.crashEndpoint(e)
 			return
 		}
-		r.begun = true
-		r.vm.RecordSound(r.features[1:], "id", d.now)
 	}
 	e.runs = slices.DeleteFunc(e.runs, func(r *dayRun) bool {
-		if d.now.Before(r.ends) {
-			return false
+		run := r.at(d.now)
+		if run.Ended || run.Reached.Reaches(r.checkpoint) {
+			r.vm.RecordSound(run, d.now)
+			r.checkpoint = run.Reached.NextCheckpoint()
 		}
-		r.vm.RecordSound(r.features, "id", d.now)
-		return true
+		return run.Ended
 	})
 }
 
 func (d *day) crashEndpoint(e *dayEndpoint) {
 	for _, r := range e.runs {
-		features := r.features
-		if r.begun {
-			features = features[:1]
-		}
-		r.vm.RecordCrash(features, Incarnation{e.id, e.born}, d.now)
+		r.vm.RecordCrash(r.at(d.now), Incarnation{e.id, e.born}, d.now)
 	}
 	e.runs = nil
 	e.born = d.now.UnixMilli()
--- a/core/quarantine/feature.go
+++ b/core/quarantine/feature.go
@@ -53,13 +53,18 @@
 // PartFeatures returns the features of the parts of a prompt that other prompts may
 // share: those with the given ids, each once.
 func PartFeatures(ids []string) []Feature {
+	if len(ids) == 0 {
+		return nil
+	}
 	if len(ids) > maxParts {
 		ids = slices.Concat(ids[:maxParts/2], ids[len(ids)-maxParts/2:])
 	}
-	var features []Feature
+	features := make([]Feature, 0, len(ids))
+	known := make(map[string]bool, len(ids))
 	for _, id := range ids {
-		if f := partFeature(id); !slices.Contains(features, f) {
-			features = append(features, f)
+		if !known[id] {
+			known[id] = true
+			features = append(features, partFeature(id))
 		}
 	}
 	return features
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -47,7 +47,7 @@
 // settle lets the VMs share what they know, until crashes count.
 func (f *testFleet) settle() {
 	f.sync()
-	f.advance(settleTime)
+	f.advance(f.vms[0].settleTime(Progress{}))
 	f.sync()
 }
 
@@ -119,5 +119,11 @@
 
 // crash lets an endpoint crash while it ran a request with the given features.
 func (f *testFleet) crash(t *Table, endpoint string, born int64, features ...Feature) {
-	t.RecordCrash(features, Incarnation{endpoint, born}, f.now)
+	t.RecordCrash(Run{Features: features}, Incarnation{endpoint, born}, f.now)
+}
+
+// sound lets an endpoint run a request with the given features to its end, and reports
+// whether other VMs are to be told.
+func (f *testFleet) sound(t *Table, request string, features ...Feature) bool {
+	return t.RecordSound(Run{Features: features, Request: request, Reached: Progress{Bytes: 1000}, Ended: true}, f.now)
 }
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -11,6 +11,9 @@
 	Feature     Feature
 	Quarantined bool
 	Crashes     []Incarnation // that speak against it, at most maxVerdictCrashes; none once it is cleared
+	Caught      Progress      // of the request with it that had come furthest in these
+	Refuted     int           // number of its crashes that sound runs refute
+	SoundRuns   int           // complete runs since the first of Crashes, which refute none of them
 	Sound       Sound         // the run that cleared it; zero if a crash was explained otherwise or forgotten
 }
 
@@ -19,15 +22,17 @@
 
 // candidate is a feature that may be quarantined.
 type candidate struct {
-	suspect *suspect
-	crashes []*incident // that speak against it and no other feature explains
+	suspect   *suspect
+	crashes   []*incident // that speak against it and no other feature explains
+	soundRuns int         // complete runs since the first of them
 }
 
 // judge decides which features are quarantined, if there is new evidence. All VMs with
 // the same evidence decide the same.
 //
-// A crash has one cause. The feature with the most crashes explains those, so that they
-// do not speak against others: sound requests that ran beside it.
+// A crash has one cause. The feature with the most crashes and the fewest sound runs
+// explains those, so that they do not speak against others: sound requests that ran
+// beside it.
 func (t *Table) judge(now time.Time) {
 	nowMs := t.clock.at(now)
 	if !t.unjudged && (t.nextEvidenceMs == 0 || nowMs < t.nextEvidenceMs) {
@@ -58,26 +63,28 @@
 // candidates returns the features against which there are enough crashes.
 func (t *Table) candidates(nowMs int64) []*candidate {
 	t.nextEvidenceMs = 0
+	moments := t.crashMoments()
 	var list []*candidate
 	for _, s := range t.suspects {
 		if len(s.incidents) < crashLimit {
 			continue
 		}
-		crashes, nextMs := s.evidence(nowMs)
+		crashes, nextMs := t.evidence(s, nowMs)
 		if nextMs > 0 && (t.nextEvidenceMs == 0 || nextMs < t.nextEvidenceMs) {
 			t.nextEvidenceMs = nextMs
 		}
-		if len(crashes) >= crashLimit {
-			list = append(list, &candidate{s, crashes})
+		crashes = moments.withoutBursts(crashes)
+		if s.enough(crashes) {
+			list = append(list, &candidate{s, crashes, s.completeRuns(crashes[0])})
 		}
 	}
 	return list
 }
 
-// compareCandidates orders by the number of crashes, then whole requests before parts: if
-// only one request has crashed endpoints, its parts may be sound.
+// compareCandidates orders by how much speaks against them, then whole requests before
+// parts: if only one request has crashed endpoints, its parts may be sound.
 func compareCandidates(a, b *candidate) int {
-	if c := cmp.Compare(len(b.crashes), len(a.crashes)); c != 0 {
+	if c := cmp.Compare(b.weight(), a.weight()); c != 0 {
 		return c
 	}
 	if a.suspect.feature.isPart() != b.suspect.feature.isPart() {
@@ -86,16 +93,19 @@
 		}
 		return 1
 	}
-	return cmp.Compare(a.suspect.feature, b.suspect.feature)
+	return cmp.Or(cmp.Compare(a.soundRuns, b.soundRuns), cmp.Compare(a.suspect.feature, b.suspect.feature))
 }
 
+// weight returns the surplus of crashes over sound runs.
+func (c *candidate) weight() int { return len(c.crashes) - c.soundRuns }
+
 // indistinguishable reports whether a candidate is the other one, or a part with the
-// same crashes as another part.
+// same crashes and as many sound runs as another part.
 func (c *candidate) indistinguishable(from *candidate) bool {
 	if c == from {
 		return true
 	}
-	if !c.suspect.feature.isPart() || !from.suspect.feature.isPart() || len(c.crashes) != len(from.crashes) {
+	if !c.suspect.feature.isPart() || !from.suspect.feature.isPart() || len(c.crashes) != len(from.crashes) || c.soundRuns != from.soundRuns {
 		return false
 	}
 	for _, i := range c.crashes {
@@ -115,7 +125,7 @@
 			continue
 		}
 		c.crashes = slices.DeleteFunc(c.crashes, func(i *incident) bool { return slices.Contains(explained, i) })
-		if len(c.crashes) >= crashLimit {
+		if c.suspect.enough(c.crashes) {
 			rest = append(rest, c)
 		}
 	}
@@ -137,27 +147,40 @@
 	}
 	for f, crashes := range quarantined {
 		if t.quarantined[f] == nil {
-			t.verdicts = append(t.verdicts, Verdict{Feature: f, Quarantined: true, Crashes: incarnations(crashes)})
+			t.verdicts = append(t.verdicts, t.suspects[f].verdict(crashes))
 		}
 		t.quarantined[f] = t.suspects[f]
 	}
 }
 
-// lastSound returns the last sound run that this VM knows, if there was no crash since.
-func (s *suspect) lastSound() Sound {
-	last := s.known
-	if s.own.StoreMs > last.StoreMs {
-		last = s.own
+// verdict returns the quarantine of a feature because of the given crashes.
+func (s *suspect) verdict(crashes []*incident) Verdict {
+	return Verdict{
+		Feature: s.feature, Quarantined: true, Crashes: incarnations(crashes), Caught: s.caughtIn(crashes),
+		Refuted: len(s.incidents) - len(s.crashes()), SoundRuns: s.completeRuns(crashes[0]),
+	}
+}
+
+// caughtIn returns the furthest progress of requests with the feature in crashes.
+func (s *suspect) caughtIn(crashes []*incident) Progress {
+	var p Progress
+	for _, i := range crashes {
+		p = p.furthest(i.caught[s.feature])
 	}
-	if len(s.crashesAfter(last.StoreMs)) >= crashLimit {
+	return p
+}
+
+// lastSound returns the last sound run that this VM knows, if it leaves no quarantine.
+func (s *suspect) lastSound() Sound {
+	if s.enough(s.crashes()) {
 		return Sound{}
 	}
-	return last
+	return s.sound
 }
 
 // incarnations returns some of the incarnations that crashed, in order.
 func incarnations(crashes []*incident) []Incarnation {
-	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b *incident) int { return cmp.Compare(a.atMs, b.atMs) })
+	sorted := slices.SortedFunc(slices.Values(crashes), compareTimes)
 	var list []Incarnation
 	for _, i := range sorted[:min(len(sorted), maxVerdictCrashes)] {
 		list = append(list, i.Incarnation)
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -11,6 +11,9 @@
 	Feature   Feature
 	Crashes   []Incarnation // that speak against it, the first maxVerdictCrashes
 	Reporters []string      // names of the VMs that reported these
+	Caught    Progress      // of the request with it that had come furthest in them
+	Refuted   int           // number of its crashes that sound runs refute
+	SoundRuns int           // complete runs since the first of Crashes, which refute none of them
 	Trials    int           // trials so far
 	LastTrial string        // name of the VM that ran the last one; empty for none
 	// NextTrial is the time until the next trial; negative if there is none.
@@ -22,9 +25,13 @@
 	t.judge(now)
 	var list []Quarantine
 	for f, s := range t.quarantined {
-		crashes := s.crashesAfter(s.soundMs())
+		crashes := s.crashes()
 		trial := s.currentTrial()
-		q := Quarantine{Feature: f, Crashes: incarnations(crashes), Reporters: reporters(crashes), Trials: trial.Count, LastTrial: trial.VM, NextTrial: -1}
+		v := s.verdict(crashes)
+		q := Quarantine{
+			Feature: f, Crashes: v.Crashes, Reporters: reporters(crashes), Caught: v.Caught, Refuted: v.Refuted, SoundRuns: v.SoundRuns,
+			Trials: trial.Count, LastTrial: trial.VM, NextTrial: -1,
+		}
 		if dueIn, more := t.nextTrialIn(s, JointTrial, t.clock.at(now)); more {
 			q.NextTrial = dueIn
 		}
--- a/core/quarantine/lost.go
+++ b/core/quarantine/lost.go
@@ -17,19 +17,19 @@
 // lostResponse is a request whose response was lost at an endpoint that has not been
 // seen to crash.
 type lostResponse struct {
-	features    []Feature
+	run         Run
 	incarnation Incarnation
 	at          time.Time
 	atMs        int64 // the same on the store's clock; 0 if that was unknown
 }
 
-// RecordLostResponse remembers the features of a request whose response was lost, in
-// case its endpoint turns out to have crashed.
-func (t *Table) RecordLostResponse(features []Feature, in Incarnation, now time.Time) {
+// RecordLostResponse remembers a request whose response was lost, in case its endpoint
+// turns out to have crashed.
+func (t *Table) RecordLostResponse(r Run, in Incarnation, now time.Time) {
 	if len(t.lost) >= maxLostResponses {
 		t.lost = t.lost[1:]
 	}
-	t.lost = append(t.lost, lostResponse{features, in, now, t.clock.at(now)})
+	t.lost = append(t.lost, lostResponse{r, in, now, t.clock.at(now)})
 }
 
 // ConfirmCrash records the crash of an endpoint that was removed from the registry, or
@@ -44,8 +44,8 @@
 		if l.incarnation.Endpoint != endpoint || l.incarnation.Born == born {
 			return false
 		}
-		if t.recordCrashAt(l.features, l.incarnation, l.atMs, now) {
-			confirmed = appendNew(confirmed, l.features)
+		if t.recordCrashAt(l.run, l.incarnation, l.atMs, now) {
+			confirmed = appendNew(confirmed, l.run.Features)
 		}
 		return true
 	})
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -16,6 +16,9 @@
 	letter = Feature("part:letter")
 )
 
+// manyParts is more than the parts of a prompt that fit into the headers of a request.
+const manyParts = 1300
+
 // allowed returns the number of VMs that allow requests with the given features.
 func (f *testFleet) allowed(features ...Feature) int {
 	n := 0
@@ -47,7 +50,7 @@
 		for i := range 4 {
 			f.crash(f.vms[i], fmt.Sprintf("e%d", i), 1, Feature(fmt.Sprintf("request:%d", i)), common, deadly)
 			f.advance(20 * time.Millisecond)
-			f.vms[7].RecordSound([]Feature{common}, "id", f.now)
+			f.sound(f.vms[7], "id", common)
 		}
 		f.settle()
 		Expect(f.allowed(common)).To(Equal(8))
@@ -59,7 +62,7 @@
 		f.crash(f.vms[0], "e1", 1, common, deadly)
 		f.crash(f.vms[0], "e2", 1, common, deadly)
 		f.advance(10 * time.Millisecond)
-		f.vms[1].RecordSound([]Feature{common}, "id", f.now)
+		f.sound(f.vms[1], "id", common)
 		f.settle()
 		Expect(f.allowed(common)).To(Equal(2))
 		Expect(f.allowed(deadly)).To(Equal(0))
@@ -98,7 +101,7 @@
 			Expect(f.runs(f.vms[1], common, letter)).To(BeTrue(), "as a trial")
 			Expect(f.runs(f.vms[2], common, letter)).To(BeFalse(), "while another one runs")
 			f.advance(10 * time.Millisecond)
-			f.vms[1].RecordSound([]Feature{common, letter}, "id", f.now)
+			f.sound(f.vms[1], "id", common, letter)
 			f.settle()
 			Expect(f.allowed(common, letter)).To(Equal(3))
 			Expect(f.allowed(deadly)).To(BeZero())
@@ -144,7 +147,7 @@
 		for i := range 4 {
 			f.crash(f.vms[i%2], fmt.Sprintf("e%d", i), 1, common, []Feature{deadly, fatal}[i/2])
 			f.advance(10 * time.Millisecond)
-			f.vms[0].RecordSound([]Feature{common}, "id", f.now)
+			f.sound(f.vms[0], "id", common)
 		}
 		f.settle()
 		Expect(f.allowed(deadly)).To(BeZero())
@@ -154,7 +157,7 @@
 
 	It("holds a part that was sound before, and ends when it is sound again", func() {
 		f := newTestFleet(2)
-		f.vms[0].RecordSound([]Feature{letter}, "before", f.now)
+		f.sound(f.vms[0], "before", letter)
 		f.advance(time.Millisecond)
 		f.crash(f.vms[0], "e1", 1, letter)
 		f.crash(f.vms[1], "e2", 1, letter)
@@ -162,7 +165,7 @@
 		Expect(f.allowed(letter)).To(BeZero())
 		Expect(f.runs(f.vms[1], letter)).To(BeTrue(), "as a trial")
 		f.advance(time.Millisecond)
-		f.vms[1].RecordSound([]Feature{letter}, "trial", f.now)
+		f.sound(f.vms[1], "trial", letter)
 		Expect(f.vms[1].Check([]Feature{letter}, f.now).Allowed).To(BeTrue())
 		f.settle()
 		Expect(f.allowed(letter)).To(Equal(2))
@@ -217,7 +220,7 @@
 		f.crash(f.vms[0], "e1", 1, deadly)
 		f.crash(f.vms[1], "e2", 1, deadly)
 		f.settle()
-		lift := Sound{Feature: deadly, VM: OperatorName, StoreMs: f.now.UnixMilli()}
+		lift := Lift(deadly, f.now.UnixMilli())
 		for _, t := range f.vms {
 			t.Apply(Change{Sounds: []Sound{lift}}, f.now)
 		}
@@ -234,11 +237,12 @@
 		Expect(pending).To(HaveLen(1))
 		Expect(len(pending[0].Crash.Features)).To(Equal(2*128 + 1))
 		for i := range 1000 {
-			f.crash(t, "e1", 1, Feature(fmt.Sprintf("part:x%d", i)))
+			f.crash(t, "e1", 1, Feature(fmt.Sprintf("part:%040d", i)))
 		}
 		pending, _ = t.Pending(1000, f.now)
 		Expect(pending).To(HaveLen(1))
-		Expect(pending[0].Crash.Features).To(HaveLen(maxReportedFeatures))
+		Expect(pending[0].size()).To(BeNumerically("<=", maxReportBytes))
+		Expect(t.Unreported(Incarnation{"e1", 1})).To(Equal(2*128 + 1 + 1000 - len(pending[0].Crash.Features)))
 	})
 
 	It("lets few of many VMs testify to a common part", func() {
@@ -250,7 +254,7 @@
 		for range 100 {
 			f.advance(5 * time.Millisecond)
 			for _, t := range f.vms {
-				t.RecordSound([]Feature{common}, "id", f.now)
+				f.sound(t, "id", common)
 			}
 			f.sync()
 		}
--- a/core/quarantine/retention.go
+++ b/core/quarantine/retention.go
@@ -15,7 +15,7 @@
 	// maxIncidents bounds the crashes that are remembered, and maxSuspects the features.
 	// A crash adds as many features as its endpoint's requests had.
 	maxIncidents = 1024
-	maxSuspects  = 8192
+	maxSuspects  = 32768
 )
 
 // makeRoom forgets the oldest crashes if there are too many, or too many features. Those
@@ -48,7 +48,7 @@
 func (t *Table) supporting() map[Incarnation]bool {
 	supporting := map[Incarnation]bool{}
 	for _, s := range t.quarantined {
-		for _, i := range s.crashesAfter(s.soundMs()) {
+		for _, i := range s.crashes() {
 			supporting[i.Incarnation] = true
 		}
 	}
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -46,6 +47,7 @@
 	verdicts    []Verdict             // changes of quarantined that were not taken yet
 	recent      recentSounds
 	lost        []lostResponse
+	own         ownCrashes
 	writes      writeQueue
 	clock       storeClock
 	// unjudged is set if the evidence has changed since it was last judged, and
@@ -77,42 +79,32 @@
 	return len(t.quarantined)
 }
 
-// RecordCrash records the crash of an endpoint while it ran a request with the given
-// features at this VM, and reports whether that is news.
-func (t *Table) RecordCrash(features []Feature, in Incarnation, now time.Time) bool {
-	return t.recordCrashAt(features, in, t.clock.at(now), now)
+// RecordCrash records the crash of an endpoint while it ran a request at this VM, and
+// reports whether that is news.
+func (t *Table) RecordCrash(r Run, in Incarnation, now time.Time) bool {
+	return t.recordCrashAt(r, in, t.clock.at(now), now)
 }
 
-func (t *Table) recordCrashAt(features []Feature, in Incarnation, atMs int64, now time.Time) bool {
+func (t *Table) recordCrashAt(r Run, in Incarnation, atMs int64, now time.Time) bool {
+	if len(r.Features) == 0 {
+		return false
+	}
 	in = t.runningAt(in, atMs)
+	t.own.add(r, in)
 	c := Crash{Incarnation: in, VM: t.vm, StoreMs: atMs}
 	if i := t.incidents[in]; i != nil && i.reports[t.vm].VM != "" {
-		c = i.reports[t.vm]
-	}
-	known := len(c.Features)
-	c.Features = appendNew(c.Features, features)
-	if len(c.Features) == known {
-		return false
-	}
-	t.addCrash(c)
-	t.queueAt(Write{Crash: &c}, now)
-	for _, f := range features {
-		t.testify(t.suspectOf(f), now)
+		c.StoreMs = i.reports[t.vm].StoreMs
 	}
+	t.report(c, now)
 	return true
 }
 
-// appendNew returns a list of features with those of more that it lacks, up to
-// maxReportedFeatures.
+// appendNew returns a list of features with those of more that it lacks.
 func appendNew(list, more []Feature) []Feature {
 	known := make(map[Feature]bool, len(list)+len(more))
 	all := make([]Feature, 0, len(list)+len(more))
-	for _, f := range list {
-		known[f] = true
-		all = append(all, f)
-	}
-	for _, f := range more {
-		if !known[f] && len(all) < maxReportedFeatures {
+	for _, f := range slices.Concat(list, more) {
+		if !known[f] {
 			known[f] = true
 			all = append(all, f)
 		}
@@ -131,6 +123,7 @@
 	for _, crash := range c.Crashes {
 		t.addCrash(crash)
 	}
+	t.completeReports(c.Crashes, now)
 	for _, crash := range c.Crashes {
 		for _, f := range crash.Features {
 			t.testify(t.suspectOf(f), now)
@@ -154,7 +147,7 @@
 	if k.Kind == TrialKey {
 		s.trial = Trial{}
 	} else {
-		s.known = Sound{}
+		s.forgetKnown()
 	}
 	if s.unused() {
 		delete(t.suspects, k.Feature)
@@ -174,7 +167,7 @@
 		case w.Crash != nil:
 			t.addCrash(*w.Crash)
 		case w.Sound != nil:
-			t.suspectOf(w.Sound.Feature).own = *w.Sound
+			t.suspectOf(w.Sound.Feature).addOwn(*w.Sound)
 		case w.Remove != nil:
 			t.remove(*w.Remove)
 		}
@@ -188,9 +181,14 @@
 	var c Change
 	crashes := map[Incarnation]Crash{}
 	for f, s := range t.quarantined {
-		for _, i := range s.crashesAfter(s.soundMs()) {
-			crash := crashes[i.Incarnation]
-			crashes[i.Incarnation] = Crash{Incarnation: i.Incarnation, VM: t.vm, StoreMs: i.atMs, Features: append(crash.Features, f)}
+		for _, i := range s.crashes() {
+			crash, ok := crashes[i.Incarnation]
+			if !ok {
+				crash = Crash{Incarnation: i.Incarnation, VM: t.vm, StoreMs: i.atMs, Caught: map[Feature]Progress{}}
+			}
+			crash.Features = append(crash.Features, f)
+			crash.Caught[f] = i.caught[f]
+			crashes[i.Incarnation] = crash
 		}
 		if s.trial.Version > 0 {
 			c.Trials = append(c.Trials, s.trial)
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -55,7 +55,7 @@
 		Expect(f.vms[0].Check([]Feature{sound}, f.now).Allowed).To(BeFalse())
 		Expect(f.runs(f.vms[1], sound)).To(BeTrue(), "as a trial")
 		f.advance(time.Second)
-		Expect(f.vms[1].RecordSound([]Feature{sound}, "id", f.now)).To(BeTrue())
+		Expect(f.sound(f.vms[1], "id", sound)).To(BeTrue())
 		f.sync()
 		for _, t := range f.vms {
 			Expect(t.Check([]Feature{sound}, f.now).Allowed).To(BeTrue())
@@ -239,7 +239,7 @@
 			f := newTestFleet(1)
 			t := f.vms[0]
 			lostAt := f.now
-			t.RecordLostResponse([]Feature{lethal}, Incarnation{"e1", 1}, lostAt)
+			t.RecordLostResponse(Run{Features: []Feature{lethal}}, Incarnation{"e1", 1}, lostAt)
 			confirmed := t.ConfirmCrash("e1", c.born, f.now.Add(c.after))
 			Expect(len(confirmed) == 1).To(Equal(c.confirmed))
 			Expect(t.Empty()).To(Equal(!c.confirmed))
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -15,6 +15,8 @@
 	// unknownOutcome is how long a trial may go on without a known outcome before the
 	// next one may start.
 	unknownOutcome = 10 * time.Second
+	// soundTrialDelay is the time from a sound trial to the next one, if one is not enough.
+	soundTrialDelay = 500 * time.Millisecond
 	// trialRetryAfter is when callers may return while a trial runs.
 	trialRetryAfter = 500 * time.Millisecond
 	// maxRetryAfter bounds what callers with a quarantined feature are told.
@@ -94,6 +96,10 @@
 // is on the store's clock.
 func (t *Table) nextTrialIn(s *suspect, kind TrialKind, nowMs int64) (time.Duration, bool) {
 	last := s.currentTrial()
+	crashes := s.crashes()
+	if last.Count > 0 && len(after(crashes, last.StoreMs)) == 0 && s.endedAfter(last.StoreMs) {
+		return max(soundTrialDelay-ageOf(last.StoreMs, nowMs), 0), true
+	}
 	count := s.trialCount()
 	most := len(trialDelays)
 	if kind == JointTrial && last.Apart == 0 && len(t.sameCrashes[s.feature]) > 1 {
@@ -109,19 +115,19 @@
 	delay := trialDelays[count]
 	switch {
 	case last.Count == 0: // the first trial was left out
-		for _, i := range s.crashesAfter(s.soundMs()) {
+		for _, i := range crashes {
 			sinceMs = max(sinceMs, i.atMs)
 		}
-	case len(s.crashesAfter(last.StoreMs)) == 0: // the outcome is not known
+	case len(after(crashes, last.StoreMs)) == 0: // the outcome is not known
 		delay = max(delay, unknownOutcome)
 	}
 	return max(delay-ageOf(sinceMs, nowMs), 0), true
 }
 
-// currentTrial returns the last trial of the present quarantine; one without a count if
-// there was none.
+// currentTrial returns the last trial since the first of the crashes that speak against
+// the feature; one without a count if there was none.
 func (s *suspect) currentTrial() Trial {
-	if s.trial.StoreMs <= s.soundMs() {
+	if crashes := s.crashes(); len(crashes) == 0 || s.trial.StoreMs < earliestMs(crashes) {
 		return Trial{Feature: s.feature, Version: s.trial.Version}
 	}
 	return s.trial
@@ -130,7 +136,7 @@
 // trialCount returns the number of trials that count for the delay until the next one.
 func (s *suspect) trialCount() int {
 	count := s.currentTrial().Count
-	if count == 0 && len(s.crashesAfter(s.soundMs())) >= certainCrashes {
+	if count == 0 && len(s.crashes()) >= certainCrashes {
 		return 1
 	}
 	return count
--- a/core/quarantine/write.go
+++ b/core/quarantine/write.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// maxWrites bounds the changes that wait for the store.
-const maxWrites = 2 * maxIncidents
+const (
+	// maxWrites bounds the changes that wait for the store.
+	maxWrites = 2 * maxIncidents
+	// maxPendingBytes bounds the changes that are written at once, but for the last.
+	maxPendingBytes = 256 << 10
+)
 
 // Write is a change for the store; one of its fields is set.
 type Write struct {
@@ -85,7 +89,8 @@
 	if !t.clock.known() {
 		return nil, time.Time{}
 	}
-	t.dropNeedless()
+	t.updateSounds()
+	size := 0
 	for _, k := range t.writes.order {
 		p := t.writes.pending[k]
 		switch {
@@ -93,22 +98,35 @@
 			if next.IsZero() || p.due.Before(next) {
 				next = p.due
 			}
-		case len(due) < limit:
+		case len(due) < limit && size < maxPendingBytes:
 			due = append(due, p.write)
+			size += p.write.size()
 		}
 	}
 	return due, next
 }
 
-// dropNeedless drops sound runs that another VM has made needless.
-func (t *Table) dropNeedless() {
+// size returns about the bytes of a change in the store.
+func (w Write) size() int {
+	if w.Crash == nil {
+		return maxFeatureBytes
+	}
+	return totalBytes(w.Crash.Features)
+}
+
+// updateSounds adds to sound runs that wait for the store what other VMs have testified
+// since, and drops those which that has made needless.
+func (t *Table) updateSounds() {
 	for _, w := range t.writes.all() {
 		if w.Sound == nil {
 			continue
 		}
-		if s := t.suspects[w.Sound.Feature]; s == nil || len(s.crashesAfter(s.known.StoreMs)) < crashLimit {
+		s := t.suspects[w.Sound.Feature]
+		if s == nil || !s.testimonyNeeded() {
 			t.writes.remove(w.Key())
+			continue
 		}
+		*w.Sound = s.sound
 	}
 }
 
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -28,15 +27,6 @@
 	return append([]quarantine.Feature{x.requestFeature()}, x.parts...)
 }
 
-// suspectFeatures returns the features by which the endpoint of the current attempt may
-// have crashed. Parts of prompts crash endpoints before they write anything.
-func (x *exchange) suspectFeatures() []quarantine.Feature {
-	if x.begun {
-		return []quarantine.Feature{x.requestFeature()}
-	}
-	return x.features()
-}
-
 // maxLoggedParts bounds the parts of a prompt that a log line names.
 const maxLoggedParts = 8
 
@@ -71,17 +61,18 @@
 		return
 	}
 	in := quarantine.Incarnation{Endpoint: a.Endpoint.ID, Born: a.Endpoint.Born}
-	features := x.suspectFeatures()
+	run := x.run()
 	if errors.Is(cause, syscall.ETIMEDOUT) || !x.refusesConnections(ctx, a) {
-		s.recordLostResponse(features, in)
+		s.recordLostResponse(run, in)
 		return
 	}
 	g := x.gateway
 	g.metrics.Increment("endpoint_crashes", "connectionRefused")
-	if s.recordCrash(features, in) {
+	if s.recordCrash(run, in) {
 		g.wakeCrashWriter()
 	}
-	g.log.Info("endpoint crashed", "endpoint", in.Endpoint, "born", in.Born, "id", x.info.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "begun", x.begun)
+	g.log.Info("endpoint crashed", "endpoint", in.Endpoint, "born", in.Born, "id", x.info.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "bytes", run.Reached.Bytes, "afterMs", run.Reached.Ms, "events", x.relayed.events)
+	g.logUnreported(in)
 	g.logVerdicts()
 }
 
@@ -94,47 +85,22 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// recordBegun records that an endpoint has begun to write the response of the current
-// attempt, which shows that the parts of its prompt are sound.
-func (x *exchange) recordBegun() {
-	if x.begun {
-		return
-	}
-	x.begun = true
-	x.recordSound(x.parts)
-}
-
-// recordRun records that an endpoint has run the request to its end. A server error does
-// not show that.
-func (x *exchange) recordRun(response *http.Response) {
-	if response.StatusCode >= http.StatusInternalServerError {
-		return
-	}
-	x.recordBegun()
-	if !x.gateway.state.noSuspects() {
-		x.recordSound([]quarantine.Feature{x.requestFeature()})
+// logUnreported logs and counts the features of the requests that were lost in a crash for
+// which this VM's report has no room.
+func (g *Gateway) logUnreported(in quarantine.Incarnation) {
+	if n := g.state.unreportedFeatures(in); n > 0 {
+		g.metrics.Increment("crash_reports", "truncated")
+		g.log.Info("crash report truncated", "endpoint", in.Endpoint, "born", in.Born, "unreported", n)
 	}
 }
 
-// recordSound records that features of the request are sound.
-func (x *exchange) recordSound(features []quarantine.Feature) {
-	if len(features) == 0 {
-		return
-	}
-	g := x.gateway
-	if g.state.recordSound(features, x.info.ID) {
-		g.wakeCrashWriter()
-	}
-	g.logVerdicts()
-}
-
 // logVerdicts logs which features are quarantined now, and which no longer are.
 func (g *Gateway) logVerdicts() {
 	for _, v := range g.state.takeVerdicts() {
 		if v.Quarantined {
-			g.log.Info("quarantine", "feature", v.Feature, "crashes", v.Crashes)
+			g.log.Info("quarantine", "feature", v.Feature, "crashes", v.Crashes, "bytes", v.Caught.Bytes, "afterMs", v.Caught.Ms, "refuted", v.Refuted, "soundRuns", v.SoundRuns)
 			continue
 		}
-		g.log.Info("quarantine lifted", "feature", v.Feature, "by", v.Sound.VM, "request", v.Sound.Request, "storeMs", v.Sound.StoreMs)
+		g.log.Info("quarantine lifted", "feature", v.Feature, "by", v.Sound.VM, "request", v.Sound.Request, "storeMs", v.Sound.StoreMs, "refuted", v.Refuted)
 	}
 }
--- a/io/gateway/crash_state.go
+++ b/io/gateway/crash_state.go
@@ -42,28 +42,35 @@
 	s.quarantine.SetTrial(t)
 }
 
-// recordSound records that a request with the given features has run soundly, and
+// recordSound records how far an endpoint has come with a request without a crash, and
 // reports whether the store is to be told.
-func (s *state) recordSound(features []quarantine.Feature, request string) bool {
+func (s *state) recordSound(r quarantine.Run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.RecordSound(features, request, time.Now())
+	return s.quarantine.RecordSound(r, time.Now())
 }
 
-// recordCrash records the crash of an incarnation while it ran a request with the given
-// features, and reports whether that is news.
-func (s *state) recordCrash(features []quarantine.Feature, in quarantine.Incarnation) bool {
+// recordCrash records the crash of an incarnation while it ran a request, and reports
+// whether that is news.
+func (s *state) recordCrash(r quarantine.Run, in quarantine.Incarnation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.RecordCrash(features, in, time.Now())
+	return s.quarantine.RecordCrash(r, in, time.Now())
 }
 
-// recordLostResponse remembers the features of a request whose response an incarnation
-// lost.
-func (s *state) recordLostResponse(features []quarantine.Feature, in quarantine.Incarnation) {
+// unreportedFeatures returns the number of features for which this VM's report of a crash
+// has no room.
+func (s *state) unreportedFeatures(in quarantine.Incarnation) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quarantine.RecordLostResponse(features, in, time.Now())
+	return s.quarantine.Unreported(in)
+}
+
+// recordLostResponse remembers a request whose response an incarnation lost.
+func (s *state) recordLostResponse(r quarantine.Run, in quarantine.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.RecordLostResponse(r, in, time.Now())
 }
 
 // takeVerdicts returns how the set of quarantined features has changed.
--- a/io/gateway/crash_sync_test.go
+++ b/io/gateway/crash_sync_test.go
@@ -38,7 +38,7 @@
 			g := &Gateway{store: c.store, log: logr.Discard(), state: newState(Settings{Name: "vm0"}), crashesRecorded: make(chan struct{}, 1)}
 			g.state.setCrashClock(1000)
 			g.state.mu.Lock()
-			g.state.quarantine.RecordCrash([]quarantine.Feature{"part:f"}, quarantine.Incarnation{Endpoint: "e", Born: 1}, time.Now())
+			g.state.quarantine.RecordCrash(quarantine.Run{Features: []quarantine.Feature{"part:f"}}, quarantine.Incarnation{Endpoint: "e", Born: 1}, time.Now())
 			g.state.mu.Unlock()
 			w := &crashWriter{g}
 			pending, _ := g.state.pendingCrashes(10)
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -49,7 +49,7 @@
 	unreachable  int             // attempts that did not reach their endpoint
 	attemptsSent int             // attempts that had a connection
 	possibleRuns int             // attempts that an endpoint may have run
-	begun        bool            // the endpoint has begun to write the response of the current attempt
+	progress     progress        // of the response of the current attempt
 	relayed      relayed
 }
 
@@ -189,7 +189,7 @@
 	}
 	stop := conn.CloseOnDone(ctx)
 	defer stop()
-	x.begun = false
+	x.progress = progress{}
 	if !x.gateway.state.accepts(a) { // it left while the connection was opened
 		conn.Close()
 		return endpoints.Inconclusive, retry, endpointLeft
--- /dev/null
+++ b/io/gateway/progress.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"hawthornspar/core/quarantine"
+)
+
+// progress is how far an endpoint has come with the response of an attempt.
+type progress struct {
+	begunAt    time.Time // zero until the response has begun
+	bytes      int64     // of the body; of a stream those of its events
+	checkpoint quarantine.Progress
+	error      bool // the response is an error, which does not show that the prompt was read
+}
+
+// reached returns the progress of an attempt by now.
+func (p progress) reached() quarantine.Progress {
+	if p.begunAt.IsZero() {
+		return quarantine.Progress{}
+	}
+	return quarantine.Progress{Bytes: p.bytes, Ms: time.Since(p.begunAt).Milliseconds()}
+}
+
+// run returns what has become of the current attempt.
+func (x *exchange) run() quarantine.Run {
+	return quarantine.Run{Features: x.features(), Request: x.info.ID, Reached: x.progress.reached()}
+}
+
+// recordProgress counts bytes of the response, which has begun, and records the parts of
+// the prompt as sound up to the next checkpoint.
+func (x *exchange) recordProgress(bytes int) {
+	p := &x.progress
+	if p.begunAt.IsZero() {
+		p.begunAt = time.Now()
+		p.checkpoint = quarantine.Progress{}.NextCheckpoint()
+	}
+	p.bytes += int64(bytes)
+	if len(x.parts) == 0 || p.error {
+		return
+	}
+	reached := p.reached()
+	if !reached.Reaches(p.checkpoint) {
+		return
+	}
+	p.checkpoint = reached.NextCheckpoint()
+	x.recordSound(quarantine.Run{Features: x.parts, Request: x.info.ID, Reached: reached})
+}
+
+// recordEndOfRun records that an endpoint has run the request to its end. A server error
+// does not show that.
+func (x *exchange) recordEndOfRun(response *http.Response) {
+	if response.StatusCode >= http.StatusInternalServerError {
+		return
+	}
+	run := x.run()
+	run.Ended = true
+	switch {
+	case x.progress.error:
+		run.Features = run.Features[:1]
+	case x.gateway.state.noSuspects():
+		run.Features = x.parts
+	}
+	x.recordSound(run)
+}
+
+// recordSound records how far an endpoint has come with the request.
+func (x *exchange) recordSound(r quarantine.Run) {
+	if len(r.Features) == 0 {
+		return
+	}
+	g := x.gateway
+	if g.state.recordSound(r) {
+		g.wakeCrashWriter()
+	}
+	g.logVerdicts()
+}
+
+// progressReader reads the body of a response that is no stream of events.
+type progressReader struct {
+	exchange *exchange
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(b []byte) (int, error) {
+	n, err := r.response.Body.Read(b)
+	r.exchange.recordProgress(n)
+	return n, err
+}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -94,10 +94,12 @@
 		return x.relayStream(a, response)
 	}
 	x.gateway.state.recordFirstChunk(a)
+	x.progress.error = response.StatusCode >= http.StatusMultipleChoices
+	x.recordProgress(0)
 	x.writeHead(response)
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
-	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, response.Body, *buffer)
+	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, &progressReader{x, response}, *buffer)
 	x.gateway.countResponseBytes(int(n))
 	return err
 }
@@ -159,7 +161,7 @@
 			resumedAfter = "" // ids increase from here on
 			x.writeHead(response)
 			if x.recordEvents(events) > 0 {
-				x.recordBegun()
+				x.recordProgress(len(events))
 			}
 			x.gateway.countResponseBytes(len(events))
 			if _, e := x.writer.Write(events); e != nil {
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -95,7 +95,7 @@
 	case err == nil:
 		stop()
 		conn.Finish(response)
-		x.recordRun(response)
+		x.recordEndOfRun(response)
 		return responseOutcome(response), finish, refusal{}
 	case x.request.Context().Err() != nil:
 		conn.Close()
