quarantine: every part of a prompt is a feature

Cause: PartFeatures looked at the first 32 and the last 32 shared parts only, and left the others out without a word.

The old check "are bounded in number" asked for the bound that was the fault; it is replaced by "are those of all parts" (1,300).

Change: no bound on parts.

--- a/core/quarantine/feature.go
+++ b/core/quarantine/feature.go
@@ -6,7 +6,6 @@
 package quarantine
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 
@@ -28,9 +27,6 @@
 	maxPartName = 40
 	// maxFeatureBytes is the length of the longest feature.
 	maxFeatureBytes = len(partKind) + maxPartName
-	// maxParts bounds the parts of one prompt that are features: if there are more, the
-	// first and the last count.
-	maxParts = 64
 )
 
 // separator ends each part of the text that is hashed. No path or name of an account
@@ -56,9 +52,6 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	if len(ids) > maxParts {
-		ids = slices.Concat(ids[:maxParts/2], ids[len(ids)-maxParts/2:])
-	}
 	features := make([]Feature, 0, len(ids))
 	known := make(map[string]bool, len(ids))
 	for _, id := range ids {
--- a/core/quarantine/feature_test.go
+++ b/core/quarantine/feature_test.go
@@ -40,16 +40,16 @@
 		It("are "+c.name, func() { Expect(PartFeatures(c.ids)).To(Equal(c.want)) })
 	}
 
-	It("are bounded in number and length, and have no slash", func() {
+	// Guards against a part that is never found because of where it stands in a long prompt.
+	It("are those of all parts, bounded in length and without a slash", func() {
 		var ids []string
-		for i := range 10 * maxParts {
+		for i := range manyParts {
 			ids = append(ids, fmt.Sprintf("%d/%s", i, strings.Repeat("x", i)))
 		}
 		features := PartFeatures(ids)
-		Expect(features).To(HaveLen(maxParts))
-		Expect(features[0]).To(Equal(partFeature(ids[0])))
-		Expect(features[maxParts-1]).To(Equal(partFeature(ids[len(ids)-1])))
-		for _, f := range features {
+		Expect(features).To(HaveLen(manyParts))
+		for i, f := range features {
+			Expect(f).To(Equal(partFeature(ids[i])))
 			Expect(len(f)).To(BeNumerically("<=", maxFeatureBytes))
 			Expect(string(f)).NotTo(ContainSubstring("/"))
 		}
