http1: a bound on every body that is kept or read for nothing

By reading: bodies of the store, of an entry VM (operators' client) and of a peer's report were read whole without a bound; a response that is discarded (rejected, misdirected, error before a retry) was read for as long as the request's deadline, and one of more than 64 KiB gave its connection back to the pool with its rest unread.

Conn.Discard is the one place that reads for nothing: 0.5 s, 256 KiB, else the connection is closed.

--- a/io/entry/client.go
+++ b/io/entry/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"hawthornspar/io/http1"
 	"hawthornspar/io/operator"
 	"hawthornspar/io/wire"
 )
@@ -23,6 +24,9 @@
 // callTimeout limits one request to one entry VM.
 const callTimeout = 25 * time.Second
 
+// maxResponseBytes bounds a response of an entry VM.
+const maxResponseBytes = 64 << 20
+
 // Client sends requests to an entry VM. If that one is unreachable or fails, it
 // tries the next.
 type Client struct {
@@ -34,7 +38,7 @@
 // New returns a client for entry VMs at the given IP:port addresses, which sends
 // the operator's secret.
 func New(addresses []string, secret string) *Client {
-	client := &http.Client{Timeout: callTimeout}
+	client := &http.Client{Timeout: callTimeout, Transport: &http1.BoundedTransport{Base: http.DefaultTransport, MaxBytes: maxResponseBytes}}
 	base := sling.New().Client(client).Set("Authorization", "Bearer "+secret)
 	return &Client{addresses: addresses, httpClient: client, baseRequest: base}
 }
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -79,7 +79,7 @@
 // discardResponse reads a response that is not relayed, so that its connection
 // can be used again.
 func (x *exchange) discardResponse(conn *http1.Conn, response *http.Response, stop func() bool) {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, 1<<16))
+	err := conn.Discard(response)
 	stop()
 	if err != nil {
 		conn.Close()
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -170,29 +170,33 @@
 		if isOwn(response) {
 			return response, nil
 		}
-		if err := c.skip(response); err != nil {
-			return nil, err
+		if err := c.Discard(response); err != nil {
+			return nil, &NoResponseError{Cause: err}
 		}
 	}
 	return nil, &StrayResponseError{}
 }
 
-// skip reads the body of a response to another request.
-func (c *Conn) skip(response *http.Response) error {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.ContentLength > maxStrayBytes {
-		return &StrayResponseError{} // the body is too long, or extends to the end of the connection
+// UndiscardedError reports a response whose body is too long to be read for nothing.
+type UndiscardedError struct{}
+
+// Error implements error.
+func (*UndiscardedError) Error() string { return "the body of a discarded response is too long" }
+
+// Discard reads the body of a response that is of no use, so that its connection can be
+// used again. It fails for a body that is too long, or does not arrive in time.
+func (c *Conn) Discard(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.ContentLength > maxDiscardedBytes {
+		return &UndiscardedError{} // the body is too long, or extends to the end of the connection
 	}
 	read := func() error {
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1))
-		if err == nil && n > maxStrayBytes {
-			return &StrayResponseError{}
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes+1))
+		if err == nil && n > maxDiscardedBytes {
+			return &UndiscardedError{}
 		}
 		return err
 	}
-	if err := within(c.netConn, maxStrayTime, read); err != nil {
-		return &NoResponseError{Cause: err}
-	}
-	return nil
+	return within(c.netConn, maxDiscardTime, read)
 }
 
 // readHead reads the head of the next response, skipping interim (1xx) responses.
--- a/io/http1/limits.go
+++ b/io/http1/limits.go
@@ -16,10 +16,10 @@
 	// maxStrayResponses is how many responses to other requests are skipped
 	// before ReadResponse returns an error.
 	maxStrayResponses = 2
-	// maxStrayBytes bounds the body of a response that is skipped, and
-	// maxStrayTime the time in which it arrives.
-	maxStrayBytes = 256 << 10
-	maxStrayTime  = 500 * time.Millisecond
+	// maxDiscardedBytes bounds the body of a response that is discarded, and
+	// maxDiscardTime the time in which it arrives.
+	maxDiscardedBytes = 256 << 10
+	maxDiscardTime    = 500 * time.Millisecond
 	// maxHeadTime bounds the time from the first byte of a head to its end.
 	maxHeadTime = 3 * time.Second
 )
--- a/io/operator/report.go
+++ b/io/operator/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -75,6 +76,9 @@
 	return fleet
 }
 
+// maxReportBytes bounds the report of one VM.
+const maxReportBytes = 16 << 20
+
 // reportFetch requests the report of one VM on a goroutine of its own.
 type reportFetch struct {
 	server  *Server
@@ -107,5 +111,5 @@
 	if response.StatusCode != http.StatusOK {
 		return false
 	}
-	return json.NewDecoder(response.Body).Decode(&f.report) == nil
+	return json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&f.report) == nil
 }
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -13,6 +13,7 @@
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
 	"hawthornspar/core/outbox"
+	"hawthornspar/io/http1"
 	"hawthornspar/io/protobuf"
 )
 
@@ -20,6 +21,12 @@
 // counts as lost.
 const requestTimeout = time.Second
 
+// Bounds of a response of the platform.
+const (
+	maxResponseBytes     = 64 << 20
+	maxResponseHeadBytes = 64 << 10
+)
+
 // Post queues an event for the core.
 type Post func(inbox.Event)
 
@@ -34,10 +41,8 @@
 
 // New returns a client of the platform at address, an IP:port.
 func New(address string, post Post) *Client {
-	client := &http.Client{
-		Timeout:   requestTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute},
-	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeadBytes}
+	client := &http.Client{Timeout: requestTimeout, Transport: &http1.BoundedTransport{Base: transport, MaxBytes: maxResponseBytes}}
 	return &Client{base: sling.New().Client(client).Base("http://" + address), httpClient: client, post: post}
 }
 
