gateway: a crash counts also at an endpoint that is paused

Cause: checkForCrash leaves out endpoints that have left, and asked accepts, which is also false for one that this VM has paused for its Retry-After since the request was sent.

Change: endpoints.Table.HasLeft asks the registry and the endpoint's own word only.

--- a/core/endpoints/notice_test.go
+++ b/core/endpoints/notice_test.go
@@ -33,6 +33,16 @@
 		Expect(t.Accepts(t.Get("e0"), testStart)).To(BeFalse())
 	})
 
+	// Guards against crashes that count for nothing because the endpoint is paused.
+	It("distinguishes an endpoint that has left from one that wants nothing for a time", func() {
+		t := tableOf(2)
+		t.Get("e0").RecordPause(time.Minute, testStart)
+		t.Get("e1").RecordLeaving(testStart)
+		Expect(t.Accepts(t.Get("e0"), testStart)).To(BeFalse())
+		Expect(t.HasLeft(t.Get("e0"), testStart)).To(BeFalse())
+		Expect(t.HasLeft(t.Get("e1"), testStart)).To(BeTrue())
+	})
+
 	It("ends with the incarnation", func() {
 		t := tableOf(1)
 		t.Get("e0").RecordLeaving(testStart)
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -152,6 +152,12 @@
 	return t.byID[e.ID] == e && e.usable(now)
 }
 
+// HasLeft reports whether an endpoint that was chosen earlier has left, or is leaving, by
+// the registry or its own word. One that wants no requests for a time has not.
+func (t *Table) HasLeft(e *Endpoint, now time.Time) bool {
+	return t.byID[e.ID] != e || !e.registered(now)
+}
+
 // Count returns the number of endpoints of a service that accept new requests.
 func (t *Table) Count(service string, now time.Time) int {
 	n := 0
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -57,7 +57,7 @@
 // lost or cut off for the given cause, has crashed.
 func (x *exchange) checkForCrash(ctx context.Context, a *endpoints.Attempt, cause error) {
 	s := x.gateway.state
-	if !s.accepts(a) { // it left
+	if s.hasLeft(a) {
 		return
 	}
 	in := quarantine.Incarnation{Endpoint: a.Endpoint.ID, Born: a.Endpoint.Born}
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -101,6 +101,13 @@
 	return s.endpoints.Accepts(attempt.Endpoint, time.Now())
 }
 
+// hasLeft reports whether an attempt's endpoint has left or is leaving.
+func (s *state) hasLeft(attempt *endpoints.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints.HasLeft(attempt.Endpoint, time.Now())
+}
+
 // recordFirstChunk records that the first chunk of an attempt's response
 // arrived.
 func (s *state) recordFirstChunk(attempt *endpoints.Attempt) {
