gateway: an endpoint's 503 for an order that has run is no refusal

An endpoint failed an order after it had run with 503 and without X-Not-Executed; the status was passed on, and the client trusted it.

Cause: handleResponse counted such a response as a run and relayed it all the same.

Change: for requests that may run once, 408, 421, 429 and 503 of an endpoint that does not say that the request has not run become 502 without a seal, which promises nothing.

--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -81,6 +81,11 @@
 		return x.noResponse(ctx, a, errors.WithStack(&UnsealedResponseError{}))
 	}
 	x.possibleRuns++
+	if promisesNotRun(response.StatusCode) && !x.route.Kind.Repeatable() {
+		x.discardResponse(conn, response, stop)
+		x.gateway.log.Info("ambiguous status", "id", x.info.ID, "endpoint", a.Endpoint.ID, "status", response.StatusCode)
+		return endpoints.ServerError, finish, outcomeUnknown
+	}
 	serverError := response.StatusCode >= http.StatusInternalServerError
 	if serverError && x.route.Kind.Repeatable() && x.mayRetry() && x.gateway.state.takeRetry(x.service) {
 		x.discardResponse(conn, response, stop)
@@ -113,6 +118,16 @@
 	return endpoints.Failed, finish, outcomeUnknown
 }
 
+// promisesNotRun reports whether clients take a status for the promise that the request
+// has not run and never will, so that they send one again that may run only once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // streamMediaType is the media type of streams of events.
 const streamMediaType = "text/event-stream"
 
