gateway: parts are recorded as sound on the way only while something is suspect

recordEndOfRun hashed each request's body, and checkpoints took the state's lock, although nothing was suspect; what ends is still remembered.

--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -61,7 +61,7 @@
 		return
 	}
 	in := quarantine.Incarnation{Endpoint: a.Endpoint.ID, Born: a.Endpoint.Born}
-	run := x.run()
+	run := x.currentRun()
 	if errors.Is(cause, syscall.ETIMEDOUT) || !x.refusesConnections(ctx, a) {
 		s.recordLostResponse(run, in)
 		return
--- a/io/gateway/progress.go
+++ b/io/gateway/progress.go
@@ -23,13 +23,13 @@
 	return quarantine.Progress{Bytes: p.bytes, Ms: time.Since(p.begunAt).Milliseconds()}
 }
 
-// run returns what has become of the current attempt.
-func (x *exchange) run() quarantine.Run {
+// currentRun returns what has become of the current attempt.
+func (x *exchange) currentRun() quarantine.Run {
 	return quarantine.Run{Features: x.features(), Request: x.info.ID, Reached: x.progress.reached()}
 }
 
-// recordProgress counts bytes of the response, which has begun, and records the parts of
-// the prompt as sound up to the next checkpoint.
+// recordProgress counts bytes of the response, which has begun. While any request is
+// suspect, it records the parts of the prompt as sound at each checkpoint.
 func (x *exchange) recordProgress(bytes int) {
 	p := &x.progress
 	if p.begunAt.IsZero() {
@@ -45,24 +45,25 @@
 		return
 	}
 	p.checkpoint = reached.NextCheckpoint()
-	x.recordSound(quarantine.Run{Features: x.parts, Request: x.info.ID, Reached: reached})
+	if !x.gateway.state.noSuspects() {
+		x.recordSound(quarantine.Run{Features: x.parts, Request: x.info.ID, Reached: reached})
+	}
 }
 
 // recordEndOfRun records that an endpoint has run the request to its end. A server error
-// does not show that.
+// does not show that, and no error shows that the endpoint has read the prompt.
 func (x *exchange) recordEndOfRun(response *http.Response) {
 	if response.StatusCode >= http.StatusInternalServerError {
 		return
 	}
-	run := x.run()
-	run.Ended = true
-	switch {
-	case x.progress.error:
-		run.Features = run.Features[:1]
-	case x.gateway.state.noSuspects():
-		run.Features = x.parts
+	var features []quarantine.Feature
+	if !x.progress.error {
+		features = x.parts
+	}
+	if !x.gateway.state.noSuspects() {
+		features = append([]quarantine.Feature{x.requestFeature()}, features...)
 	}
-	x.recordSound(run)
+	x.recordSound(quarantine.Run{Features: features, Request: x.info.ID, Reached: x.progress.reached(), Ended: true})
 }
 
 // recordSound records how far an endpoint has come with the request.
