--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -141,3 +142,25 @@
 		}
 	}
 }
+
+// compareTimes orders crashes by their times; those without come last.
+func compareTimes(a, b *incident) int {
+	if (a.atMs == 0) != (b.atMs == 0) {
+		return cmp.Compare(b.atMs, a.atMs)
+	}
+	return cmp.Or(cmp.Compare(a.atMs, b.atMs), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Born, b.Born))
+}
+
+// earliestMs returns the store's time of the first of some crashes; 0 if it is unknown.
+func earliestMs(crashes []*incident) int64 {
+	if len(crashes) == 0 {
+		return 0
+	}
+	return crashes[0].atMs
+}
+
+// after returns those of some crashes that followed a time on the store's clock. A crash
+// without a time did.
+func after(crashes []*incident, ms int64) []*incident {
+	return slices.DeleteFunc(slices.Clone(crashes), func(i *incident) bool { return i.atMs > 0 && i.atMs <= ms })
+}
--- a/core/quarantine/sound.go
+++ b/core/quarantine/sound.go
@@ -75,7 +75,7 @@
 // with a common part, while few of them are enough.
 const (
 	testimonyDelayPerVM = 2 * time.Millisecond
-	maxTestimonyDelay   = settleTime / 2
+	maxTestimonyDelay   = baseSettleTime / 2
 )
 
 // testify tells the other VMs of this VM's sound runs, if these are evidence for a
