--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -41,12 +41,9 @@
 // unrefuted returns the crashes that speak against the feature, in order, given the sound
 // runs with it.
 func (s *suspect) unrefuted(sound Sound) []*incident {
-	all := s.inOrder()
-	all = all[max(len(all)-maxJudgedCrashes, 0):]
-	lost := s.lostRuns(all)
 	var crashes []*incident
 	followed, laterMs := 0, int64(0)
-	for _, i := range slices.Backward(all) {
+	for _, i := range slices.Backward(s.inOrder()) {
 		sameBurst := laterMs-i.atMs <= burstWindow.Milliseconds()
 		if i.atMs > 0 && !sameBurst {
 			followed++
@@ -54,7 +51,7 @@
 		if followed == 0 || !sameBurst {
 			laterMs = i.atMs
 		}
-		if i.atMs == 0 || i.atMs > sound.LiftedMs && !s.refuted(i, followed, sound.Passes, lost) {
+		if i.atMs == 0 || i.atMs > sound.LiftedMs && !s.refuted(i, followed, sound.Passes) {
 			crashes = append(crashes, i)
 		}
 	}
@@ -90,12 +87,13 @@
 // refuted reports whether sound runs show that the feature did not cause a crash, which a
 // number of others followed. A whole request did not if it has run to its end since. Runs
 // that were lost in a later crash count as far as they had come.
-func (s *suspect) refuted(i *incident, followed int, passes, lost []Pass) bool {
+func (s *suspect) refuted(i *incident, followed int, passes []Pass) bool {
 	if !s.feature.isPart() {
 		return slices.ContainsFunc(passes, func(p Pass) bool { return p.Ended && p.StoreMs > i.atMs })
 	}
 	caught := i.caught[s.feature]
 	refutations, complete := 0, 0
+	needed := refutationsPerCrash*max(followed-unweighedCrashes, 0) + 1
 	for _, p := range passes {
 		if p.refutes(i.atMs, caught) {
 			refutations++
@@ -103,14 +101,16 @@
 		if p.endedSince(i.atMs, caught) {
 			complete++
 		}
+		if refutations >= needed || complete >= bystanderRuns {
+			return true
+		}
 	}
-	for _, p := range lost {
+	for _, p := range s.lost {
 		if p.refutes(i.atMs, caught) {
 			refutations++
 		}
 	}
-	needed := refutationsPerCrash*max(followed-unweighedCrashes, 0) + 1
-	return refutations >= needed || complete >= bystanderRuns
+	return refutations >= needed
 }
 
 // completeRuns returns the number of runs to their end since a crash.
--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -9,7 +9,8 @@
 type suspect struct {
 	feature   Feature
 	incidents map[Incarnation]*incident // crashes while requests with it ran
-	ordered   []*incident               // the same by their times; nil after a change
+	ordered   []*incident               // the last of them by their times; nil after a change
+	lost      []Pass                    // how far the runs had come that ended in these
 	known     Sound                     // the sound runs that all VMs may know
 	own       Sound                     // the sound runs at this VM
 	sound     Sound                     // both
@@ -45,12 +46,15 @@
 	s.ordered = nil
 }
 
-// inOrder returns the crashes in the order of their times. Those without a time are the
-// last.
+// inOrder returns the last crashes in the order of their times. Those without a time are
+// the last.
 func (s *suspect) inOrder() []*incident {
-	if s.ordered == nil {
-		s.ordered = slices.SortedFunc(maps.Values(s.incidents), compareTimes)
+	if s.ordered != nil {
+		return s.ordered
 	}
+	s.ordered = slices.SortedFunc(maps.Values(s.incidents), compareTimes)
+	s.ordered = s.ordered[max(len(s.ordered)-maxJudgedCrashes, 0):]
+	s.lost = s.lostRuns(s.ordered)
 	return s.ordered
 }
 
