io/endpoint: events without text and heads of engines are bounded

An engine that sends events without text and without end filled the VM's memory: they were all kept as the end of the response. New spec: 100,000 of them in one stream, then the marker: was complete with all kept, is incomplete now after 16. Heads were bounded by net/http's 10 MB, now 64 KiB. Open, in the incident: events with text, from an engine that ignores max_tokens.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -25,6 +25,8 @@
 	resumeInterval    = 100 * time.Millisecond // between two requests to resume
 	maxResponseBytes  = 1 << 20                // of an app service
 	maxEventBytes     = 1 << 20
+	maxFinalEvents    = 16 // events without text at the end of a stream: the reason and the usage
+	maxHeadBytes      = 64 << 10
 )
 
 // Post queues an event for the core.
@@ -71,7 +73,7 @@
 	// Each request gets its own connection. On a reused one, net/http silently repeats
 	// some requests that fail, which would run a call twice, and a late second copy of
 	// an earlier response would count as the response.
-	transport := &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		incarnation: incarnation, post: post, log: log, cancelFuncs: map[attemptID]context.CancelFunc{},
 		modelClient: &http.Client{Transport: transport},
--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -137,7 +137,7 @@
 // handleEvent passes one event on. Events without choices, or with a finish reason
 // and no text, end the response and are held back until the request is settled.
 // handleEvent returns false if the event is malformed, reports an error, or is no longer
-// accepted.
+// accepted, or after more than maxFinalEvents without text, which are kept.
 func (a *attempt) handleEvent(data []byte) bool {
 	var c completionChunk
 	if err := json.Unmarshal(data, &c); err != nil || c.Error != nil {
@@ -148,7 +148,7 @@
 	}
 	if len(c.Choices) == 0 || c.Choices[0].FinishReason != nil && c.Choices[0].Delta.Content == "" {
 		a.finalEvents = append(a.finalEvents, data)
-		return true
+		return len(a.finalEvents) <= maxFinalEvents
 	}
 	if !a.exchange.AddEvent(a.command.Attempt, data, c.Choices[0].Delta.Content) {
 		return false
--- a/io/endpoint/stream_test.go
+++ b/io/endpoint/stream_test.go
@@ -33,4 +33,15 @@
 			Expect(a.readEvents(strings.NewReader(c.text), timeout)).To(Equal(c.complete))
 		})
 	}
+
+	// Guards against a VM whose memory is filled by an engine that sends events without text
+	// and without end.
+	It("ends as incomplete after too many events without text", func() {
+		a := &attempt{client: &Client{post: func(inbox.Event) {}}, exchange: &testExchange{}, command: outbox.StartAttempt{Attempt: 1}}
+		timeout := time.NewTimer(time.Hour)
+		defer timeout.Stop()
+		const many = 100_000
+		Expect(a.readEvents(strings.NewReader(strings.Repeat("data: {}\n\n", many)+"data: [DONE]\n\n"), timeout)).To(BeFalse())
+		Expect(len(a.finalEvents)).To(BeNumerically("<", many/1000))
+	})
 })
