quarantine: a crash weighs less the further its requests had come

Cause: since parts of begun responses count too, a common part whose streams of 4 to 7 s were cut off in crash after crash had more crashes than the deadly ones and no sound run in the time; it explained their crashes, and their quarantine was lifted.

New spec "had just begun" failed before. Change: weight of a crash 1 / (1 + progress / 2 s).

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -96,16 +96,29 @@
 	return cmp.Or(cmp.Compare(a.soundRuns, b.soundRuns), cmp.Compare(a.suspect.feature, b.suspect.feature))
 }
 
-// weight returns the surplus of crashes over sound runs.
-func (c *candidate) weight() int { return len(c.crashes) - c.soundRuns }
+// bystanderProgress is how far a request has come that counts half as much against its
+// features as one that had not begun: the cause crashes endpoints at some moment, mostly
+// an early one, while others are caught anywhere in their streams.
+const bystanderProgress = 2 * time.Second
+
+// weight returns the surplus of crashes over sound runs. Crashes count less the further
+// the feature's requests had come.
+func (c *candidate) weight() float64 {
+	weight := -float64(c.soundRuns)
+	for _, i := range c.crashes {
+		reached := time.Duration(i.caught[c.suspect.feature].Ms) * time.Millisecond
+		weight += 1 / (1 + reached.Seconds()/bystanderProgress.Seconds())
+	}
+	return weight
+}
 
 // indistinguishable reports whether a candidate is the other one, or a part with the
-// same crashes and as many sound runs as another part.
+// same crashes and as much that speaks against it as another part.
 func (c *candidate) indistinguishable(from *candidate) bool {
 	if c == from {
 		return true
 	}
-	if !c.suspect.feature.isPart() || !from.suspect.feature.isPart() || len(c.crashes) != len(from.crashes) || c.soundRuns != from.soundRuns {
+	if !c.suspect.feature.isPart() || !from.suspect.feature.isPart() || len(c.crashes) != len(from.crashes) || c.weight() != from.weight() {
 		return false
 	}
 	for _, i := range c.crashes {
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -121,6 +121,25 @@
 		Expect(f.allowed(deadly)).To(BeZero())
 	})
 
+	// Guards against a deadly part that stays in use because a common one, whose long streams
+	// were cut off in still more crashes, is blamed in its place.
+	It("blames the part whose requests had just begun, rather than one whose requests were caught far on in more crashes", func() {
+		f := newTestFleet(2)
+		far := Run{Features: []Feature{common}, Reached: Progress{Bytes: 8000, Ms: 7000}}
+		for i := range 5 {
+			endpoint := fmt.Sprintf("e%d", i)
+			f.vms[0].RecordCrash(far, Incarnation{endpoint, 1}, f.now)
+			if i < 3 {
+				f.crash(f.vms[1], endpoint, 1, common, deadly)
+			}
+			f.advance(300 * time.Millisecond)
+		}
+		f.settle()
+		f.advance(maxPassingTime)
+		Expect(f.allowed(deadly)).To(BeZero())
+		Expect(f.allowed(common)).To(Equal(2))
+	})
+
 	It("blames the request rather than its parts, if no other request with them has crashed an endpoint", func() {
 		f := newTestFleet(1)
 		f.crash(f.vms[0], "e1", 1, lethal, letter)
