--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -40,9 +40,11 @@
 // ResponseInfo is what the head of an endpoint's response states.
 type ResponseInfo struct {
 	RequestID string // of the request that the response belongs to
-	Sealed    bool   // the endpoint ran the request and this is its response
-	NotRun    bool   // the endpoint proves that it did not run the request
-	Leaving   bool   // the endpoint is leaving
+	// EndpointID is the id of the endpoint that answered, if it names itself.
+	EndpointID string
+	Sealed     bool // the endpoint ran the request and this is its response
+	NotRun     bool // the endpoint proves that it did not run the request
+	Leaving    bool // the endpoint is leaving
 	// RetryAfter is how long the endpoint wants no requests, if it turned this one away.
 	RetryAfter time.Duration
 }
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"mime"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -68,6 +69,7 @@
 func (x *exchange) handleResponse(ctx context.Context, a *endpoints.Attempt, conn *http1.Conn, response *http.Response, stop func() bool) (endpoints.Outcome, action, refusal) {
 	head := x.gateway.dialect.ReadResponse(response.Header)
 	x.obeyNotices(a, response.StatusCode, head)
+	x.logNotRunClaim(a, conn, response.StatusCode, head)
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		x.discardResponse(conn, response, stop)
@@ -118,6 +120,17 @@
 	return endpoints.Failed, finish, outcomeUnknown
 }
 
+// logNotRunClaim logs and counts a response that may be taken for the statement that the
+// request has not run, with all that speaks for and against it.
+func (x *exchange) logNotRunClaim(a *endpoints.Attempt, conn *http1.Conn, status int, head ResponseInfo) {
+	if !head.NotRun && !promisesNotRun(status) {
+		return
+	}
+	x.gateway.metrics.Increment("not_run_claims", strconv.Itoa(status))
+	x.gateway.log.Info("not-run claim", "id", x.info.ID, "endpoint", a.Endpoint.ID, "address", a.Endpoint.Address, "status", status, "mark", head.NotRun, "sealed", head.Sealed,
+		"requestID", head.RequestID, "answeredBy", head.EndpointID, "reused", conn.Reused(), "kind", x.route.Kind.String())
+}
+
 // promisesNotRun reports whether clients take a status for the promise that the request
 // has not run and never will, so that they send one again that may run only once.
 func promisesNotRun(status int) bool {
