core/notrun: a 421 is no proof by itself that an order has not run

Cause: handleResponse took the status for the proof, whatever the head said; had left it out, as it is handled before. Class: a status or a constant promises by itself.

Change: a proof is a value of core/notrun, which only the facts that prove make: nothing was written, the endpoint's rejection, a 421 that names another endpoint than the one expected, a claim that was withdrawn. A request records an attempt before its first byte and takes it back only with a proof; every refusal with a status that promises takes the statement of that record, else it is a 502. Both interfaces use the type; entity.NotRunProof, which anyone could make, goes. What has no proof is now a 502 for requests of every kind. Counters not_run_proofs by fact and ambiguous_statuses by status, a line with the proof that allowed a second send.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -9,6 +9,7 @@
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/outbox"
 	"hawthornspar/core/world"
 )
@@ -208,7 +209,7 @@
 func (s *System) resolve(w *world.World, r *entity.Request, row entity.ClaimRow) {
 	switch {
 	case row.Fingerprint != r.Fingerprint:
-		r.ConfirmNotRun(entity.NotRunProof{Attempt: r.Attempt})
+		r.ConfirmNotRun(r.Attempt, notrun.FromFingerprints(r.Fingerprint, row.Fingerprint))
 		w.Refuse(r, entity.ReasonKeyReused, 0)
 	case row.Done && row.Status == 0:
 		w.Refuse(r, entity.ReasonOutcomeUnknown, 0)
@@ -249,7 +250,7 @@
 	}
 	if e.Rows[0].Version == 0 {
 		s.watching.Delete(r.ID)
-		r.ConfirmNotRun(entity.NotRunProof{Attempt: r.Attempt})
+		r.ConfirmNotRun(r.Attempt, notrun.FromClaim(e.Rows[0].Version))
 		w.SetPhase(r, entity.PhaseQueued)
 		return
 	}
--- a/core/entity/refusal.go
+++ b/core/entity/refusal.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"hawthornspar/core/notrun"
 )
 
 // Reason identifies why a request was refused or failed.
@@ -35,12 +37,11 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
-	notRun     bool
+	statement  notrun.Statement
 }
 
-// NotRun reports whether it is certain that no endpoint ran the request. It is
-// true only if Request.PossiblyRun was false when the request was refused.
-func (r Refusal) NotRun() bool { return r.notRun }
+// NotRun reports whether it is certain that no endpoint ran the request.
+func (r Refusal) NotRun() bool { return r.statement.NotRun() }
 
 // Error implements error.
 func (r Refusal) Error() string { return fmt.Sprintf("refused: %s", r.Reason) }
@@ -48,5 +49,5 @@
 // Refuse returns a refusal of the request. Its NotRun is derived from the
 // request's record of attempts, so that no caller can set it wrongly.
 func (r *Request) Refuse(reason Reason, retryAfter time.Duration) Refusal {
-	return Refusal{Reason: reason, RetryAfter: retryAfter, notRun: !r.PossiblyRun()}
+	return Refusal{Reason: reason, RetryAfter: retryAfter, statement: r.runs.Statement()}
 }
--- a/core/entity/request.go
+++ b/core/entity/request.go
@@ -1,8 +1,9 @@
 package entity
 
 import (
-	"slices"
 	"time"
+
+	"hawthornspar/core/notrun"
 )
 
 // Phase is the stage of a request's processing.
@@ -76,22 +77,15 @@
 	EndpointWasHealthy bool      // the endpoint was healthy when the attempt was placed there
 	InTrial            bool      // runs apart from other suspects
 
-	possiblyRunAttempts []int // attempts that an endpoint may have run
+	runs notrun.Record // attempts that an endpoint may have run
 }
 
 // MarkPossiblyRun records that an endpoint may run the current attempt. Only
 // ConfirmNotRun, which requires a proof, reverts the record.
-func (r *Request) MarkPossiblyRun() { r.possiblyRunAttempts = append(r.possiblyRunAttempts, r.Attempt) }
+func (r *Request) MarkPossiblyRun() { r.runs.Begin(r.Attempt) }
 
 // PossiblyRun reports whether an endpoint may have run the request.
-func (r *Request) PossiblyRun() bool { return len(r.possiblyRunAttempts) > 0 }
-
-// NotRunProof is the proof that no endpoint ran an attempt. A failed
-// connection, a rejection by the endpoint before it did any work, or the claim
-// row of a non-idempotent request can provide it.
-type NotRunProof struct{ Attempt int }
+func (r *Request) PossiblyRun() bool { return r.runs.PossibleRuns() > 0 }
 
-// ConfirmNotRun reverts MarkPossiblyRun for the attempt that the proof names.
-func (r *Request) ConfirmNotRun(proof NotRunProof) {
-	r.possiblyRunAttempts = slices.DeleteFunc(r.possiblyRunAttempts, func(a int) bool { return a == proof.Attempt })
-}
+// ConfirmNotRun reverts MarkPossiblyRun for an attempt, if the proof holds.
+func (r *Request) ConfirmNotRun(attempt int, proof notrun.Proof) { r.runs.Withdraw(attempt, proof) }
--- a/core/inbox/events.go
+++ b/core/inbox/events.go
@@ -3,6 +3,7 @@
 
 import (
 	"hawthornspar/core/entity"
+	"hawthornspar/core/notrun"
 )
 
 // Event is an input of the core.
@@ -31,7 +32,7 @@
 const (
 	OutcomeCompleted        Outcome = iota // complete response received
 	OutcomeNotSent                         // no connection was established
-	OutcomeFull                            // not run, as the endpoint had no capacity
+	OutcomeFull                            // the endpoint had no capacity; not run only with a proof
 	OutcomeRejected                        // the endpoint rejected the content
 	OutcomeConnectionFailed                // the connection failed after the request was sent
 	OutcomeCancelled                       // cancelled by the core
@@ -43,8 +44,9 @@
 	Attempt         int
 	Endpoint        string
 	Outcome         Outcome
-	EndpointCrashed bool  // with OutcomeConnectionFailed: the endpoint crashed or stayed unreachable
-	Tokens          int64 // prompt and output tokens used
+	Proof           notrun.Proof // that the attempt has not run, with OutcomeNotSent and OutcomeFull
+	EndpointCrashed bool         // with OutcomeConnectionFailed: the endpoint crashed or stayed unreachable
+	Tokens          int64        // prompt and output tokens used
 	Response        entity.AppResponse
 }
 
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -7,6 +7,7 @@
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/outbox"
 	"hawthornspar/core/settle"
 	"hawthornspar/core/world"
@@ -60,12 +61,14 @@
 	case inbox.OutcomeCompleted:
 		s.complete(w, r, e)
 	case inbox.OutcomeNotSent:
-		r.ConfirmNotRun(entity.NotRunProof{Attempt: e.Attempt})
+		if !e.Proof.Holds() {
+			s.handlePossiblyRun(w, r, false)
+			return
+		}
+		r.ConfirmNotRun(e.Attempt, e.Proof)
 		s.retry(w, r, entity.PhaseQueued, notSent)
 	case inbox.OutcomeFull:
-		r.ConfirmNotRun(entity.NotRunProof{Attempt: e.Attempt})
-		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "endpointFull"})
-		w.SetPhase(r, entity.PhaseQueued)
+		s.handleFull(w, r, e.Proof)
 	case inbox.OutcomeRejected:
 		s.fail(w, r, entity.ReasonEndpointRejected)
 	case inbox.OutcomeConnectionFailed:
@@ -75,6 +78,18 @@
 	}
 }
 
+// handleFull queues a request again whose endpoint had no capacity. A non-idempotent
+// request must not have run there, which only a proof shows.
+func (s *System) handleFull(w *world.World, r *entity.Request, proof notrun.Proof) {
+	if !proof.Holds() && !r.Idempotent {
+		s.fail(w, r, entity.ReasonOutcomeUnknown)
+		return
+	}
+	r.ConfirmNotRun(r.Attempt, proof)
+	w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "endpointFull"})
+	w.SetPhase(r, entity.PhaseQueued)
+}
+
 // complete charges a request for its complete response. A model request is
 // charged for the tokens used, any other request for its whole reservation if
 // the status of the response is below 300.
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -1,11 +1,13 @@
 package experiment
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/outbox"
 )
 
@@ -61,7 +63,7 @@
 	f := vm.fleet
 	p, ok := f.pending.Get(requestID{vm.incarnation, c.Request})
 	if !ok {
-		vm.postAfter(0, inbox.AttemptEnded{Request: c.Request, Attempt: c.Attempt, Endpoint: c.Endpoint, Outcome: inbox.OutcomeNotSent})
+		vm.postAfter(0, inbox.AttemptEnded{Request: c.Request, Attempt: c.Attempt, Endpoint: c.Endpoint, Outcome: inbox.OutcomeNotSent, Proof: proofOf(inbox.OutcomeNotSent)})
 		return
 	}
 	s, _ := vm.submissions.Get(c.Request)
@@ -73,6 +75,17 @@
 	}
 }
 
+// proofOf returns the proof that an attempt with an outcome has not run, if there is one.
+func proofOf(o inbox.Outcome) notrun.Proof {
+	switch o {
+	case inbox.OutcomeNotSent:
+		return notrun.FromError(&notrun.UnwrittenError{})
+	case inbox.OutcomeFull:
+		return notrun.FromResponse(notrun.Attempt{RequestID: "r"}, notrun.Response{Status: http.StatusTooManyRequests, RequestID: "r", NotRun: true})
+	}
+	return notrun.Proof{}
+}
+
 // cancelAttempt removes an attempt from its engine, whether it runs or waits.
 func (vm *VM) cancelAttempt(c outbox.CancelAttempt) {
 	for _, e := range vm.fleet.Engines {
@@ -216,7 +229,7 @@
 	a.result.Endpoint = a.command.Endpoint
 	a.post(inbox.AttemptEnded{
 		Request: a.command.Request, Attempt: a.command.Attempt, Endpoint: a.command.Endpoint,
-		Outcome: outcome, EndpointCrashed: outcome == inbox.OutcomeConnectionFailed, Tokens: tokens,
+		Outcome: outcome, Proof: proofOf(outcome), EndpointCrashed: outcome == inbox.OutcomeConnectionFailed, Tokens: tokens,
 		Response: entity.AppResponse{Status: 200},
 	})
 }
--- a/io/daemon/loop.go
+++ b/io/daemon/loop.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"hawthornspar/core/inbox"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/outbox"
 )
 
@@ -102,7 +103,7 @@
 	session := d.callers.Session(c.Request)
 	if session == nil {
 		e := &asyncPost{daemon: d, event: inbox.AttemptEnded{
-			Request: c.Request, Attempt: c.Attempt, Endpoint: c.Endpoint, Outcome: inbox.OutcomeNotSent,
+			Request: c.Request, Attempt: c.Attempt, Endpoint: c.Endpoint, Outcome: inbox.OutcomeNotSent, Proof: notrun.FromError(&notrun.UnwrittenError{}),
 		}}
 		go e.run()
 		return
--- a/io/endpoint/attempt.go
+++ b/io/endpoint/attempt.go
@@ -13,6 +13,7 @@
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/outbox"
 )
 
@@ -48,6 +49,7 @@
 	} else {
 		end.Outcome, end.Response = a.callApp()
 	}
+	end.Proof = a.proof(end.Outcome)
 	end.EndpointCrashed = a.crashed && end.Outcome == inbox.OutcomeConnectionFailed
 	a.client.post(end)
 }
@@ -90,6 +92,17 @@
 	return inbox.OutcomeConnectionFailed
 }
 
+// proof returns the proof that the attempt has not run, if its outcome has one.
+func (a *attempt) proof(outcome inbox.Outcome) notrun.Proof {
+	switch {
+	case outcome == inbox.OutcomeNotSent && !a.sent.Load():
+		return notrun.FromError(&notrun.UnwrittenError{})
+	case outcome == inbox.OutcomeFull:
+		return notrun.FromResponse(notrun.Attempt{}, notrun.Response{NotRun: true})
+	}
+	return notrun.Proof{}
+}
+
 // callApp sends a call to an app service, once, and reads the complete response.
 func (a *attempt) callApp() (inbox.Outcome, entity.AppResponse) {
 	ctx, cancel := context.WithTimeout(a.ctx, appTimeout)
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
-	"hawthornspar/io/http1"
 )
 
 // minAttemptTime is the least time before the deadline that is worth an
@@ -48,7 +47,7 @@
 	attempted    map[string]bool // endpoints that were chosen for earlier attempts
 	unreachable  int             // attempts that did not reach their endpoint
 	attemptsSent int             // attempts that had a connection
-	possibleRuns int             // attempts that an endpoint may have run
+	runs         notrun.Record   // attempts that an endpoint may have run
 	progress     progress        // of the response of the current attempt
 	relayed      relayed
 }
@@ -117,7 +116,7 @@
 	if time.Until(x.deadline) < minAttemptTime {
 		return finish, x.deadlineRefusal()
 	}
-	if x.possibleRuns == 0 && x.gateway.stopsBefore(x.deadline) {
+	if x.runs.PossibleRuns() == 0 && x.gateway.stopsBefore(x.deadline) {
 		return finish, stopping
 	}
 	if x.countUnreachable(last) {
@@ -146,7 +145,7 @@
 	}
 	if next == retry {
 		x.gateway.metrics.Increment("retries", refused.reason)
-		x.gateway.log.Info("retried", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "reason", refused.reason, "attempts", x.possibleRuns, "sends", x.attemptsSent)
+		x.gateway.log.Info("retried", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "reason", refused.reason, "attempts", x.runs.PossibleRuns(), "sends", x.attemptsSent)
 	}
 	return next, refused
 }
@@ -163,7 +162,7 @@
 // finalRefusal returns the refusal that ends the request: r if no endpoint can
 // have run the request, else outcomeUnknown.
 func (x *exchange) finalRefusal(r refusal) refusal {
-	if x.possibleRuns > 0 {
+	if x.runs.PossibleRuns() > 0 {
 		return outcomeUnknown
 	}
 	return r
@@ -172,7 +171,7 @@
 // deadlineRefusal returns the refusal of a request that has no time left for an
 // attempt.
 func (x *exchange) deadlineRefusal() refusal {
-	if x.possibleRuns > 0 {
+	if x.runs.PossibleRuns() > 0 {
 		return deadlineExceeded
 	}
 	return deadlineExceededUnsent
@@ -195,13 +194,14 @@
 		return endpoints.Inconclusive, retry, endpointLeft
 	}
 	x.attemptsSent++
+	x.runs.Begin(x.attemptsSent)
 	request := x.endpointRequest(a)
 	x.gateway.uplink.add(estimatedHeadBytes/2 + len(request.Body))
 	err = conn.Send(request)
 	if err != nil {
 		conn.Close()
-		var unsent *http1.UnsentError
-		if errors.As(err, &unsent) {
+		if proof := notrun.FromError(err); proof.Holds() {
+			x.withdraw(a, proof)
 			return x.notSent(ctx, err)
 		}
 		return x.noResponse(ctx, a, err)
@@ -214,6 +214,13 @@
 	return x.handleResponse(ctx, a, conn, response, stop)
 }
 
+// withdraw takes the current attempt back, which a proof shows not to have run.
+func (x *exchange) withdraw(a *endpoints.Attempt, proof notrun.Proof) {
+	x.runs.Withdraw(x.attemptsSent, proof)
+	x.gateway.metrics.Increment("not_run_proofs", string(proof.Fact()))
+	x.gateway.log.Info("proved not run", "id", x.info.ID, "endpoint", a.Endpoint.ID, "proof", proof.Fact(), "sends", x.attemptsSent)
+}
+
 // settle ends the reservation and bills the tokens that the request used.
 func (x *exchange) settle() {
 	if x.reservation == nil {
@@ -250,7 +257,7 @@
 		x.abort()
 	}
 	x.recordEnd("refused", r.reason)
-	x.gateway.refuse(x.writer, x.info.ID, r, x.timeLeft())
+	x.gateway.refuse(x.writer, x.info.ID, r, x.runs.Statement(), x.timeLeft())
 }
 
 // timeLeft returns the time until the request's deadline. While no deadline is
@@ -271,5 +278,5 @@
 	x.gateway.metrics.Increment("requests", outcome)
 	x.gateway.metrics.ObserveDuration("request_seconds", outcome, time.Since(x.arrived))
 	x.gateway.log.Info("ended", "id", x.info.ID, "outcome", outcome, "reason", reason, "route", name, "account", x.accountName(),
-		"configuration", x.configurationVersion, "sends", x.attemptsSent, "attempts", x.possibleRuns, "events", x.relayed.events, "tokens", x.billedTokens(), "ms", time.Since(x.arrived).Milliseconds())
+		"configuration", x.configurationVersion, "sends", x.attemptsSent, "attempts", x.runs.PossibleRuns(), "events", x.relayed.events, "tokens", x.billedTokens(), "ms", time.Since(x.arrived).Milliseconds())
 }
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -15,7 +15,7 @@
 // returns none if a trial is due, which claimTrials claims before an attempt.
 func (x *exchange) checkQuarantine() *refusal {
 	decision, refused := x.quarantineDecision()
-	if decision.TrialDue && x.possibleRuns == 0 {
+	if decision.TrialDue && x.runs.PossibleRuns() == 0 {
 		return nil
 	}
 	return refused
@@ -24,11 +24,11 @@
 // claimTrials returns the refusal of a request with a quarantined feature, unless the
 // request is its trial and has not run yet.
 func (x *exchange) claimTrials(ctx context.Context) *refusal {
-	if len(x.trials) > 0 && x.possibleRuns == 0 {
+	if len(x.trials) > 0 && x.runs.PossibleRuns() == 0 {
 		return nil
 	}
 	decision, refused := x.quarantineDecision()
-	if refused == nil || decision.TrialDue && x.possibleRuns == 0 && x.claimEach(ctx, decision.Quarantine) {
+	if refused == nil || decision.TrialDue && x.runs.PossibleRuns() == 0 && x.claimEach(ctx, decision.Quarantine) {
 		return nil
 	}
 	return refused
@@ -88,7 +88,7 @@
 // whose client left in the middle of the response.
 func (x *exchange) refundTrials() {
 	clientLeft := x.relayed.events > 0 && x.request.Context().Err() != nil
-	if len(x.trials) == 0 || x.possibleRuns > 0 && !clientLeft {
+	if len(x.trials) == 0 || x.runs.PossibleRuns() > 0 && !clientLeft {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.request.Context()), maxTrialWait)
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"hawthornspar/core/notrun"
 )
 
 // refusal is an error response that the gateway generates itself.
@@ -23,8 +25,8 @@
 	retryAfterSpread = 0.25
 )
 
-// Refusals. Statuses 429 and 503 are used only if no endpoint can have run the
-// request.
+// Refusals. Those with a status by which clients take a request for not run are sent only
+// with the statement that it has not.
 var (
 	noConfiguration        = refusal{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: otherVMRetryAfter}
 	noRoute                = refusal{status: http.StatusNotFound, reason: "noRoute"}
@@ -78,9 +80,18 @@
 	return time.Duration(float64(d) * (1 + retryAfterSpread*(2*random-1)))
 }
 
-// refuse writes a refusal. timeLeft is the time until the request's deadline; 0
-// when unknown.
-func (g *Gateway) refuse(w http.ResponseWriter, id string, r refusal, timeLeft time.Duration) {
+// allowedBy returns r if a statement allows it, else outcomeUnknown.
+func (r refusal) allowedBy(s notrun.Statement) refusal {
+	if promisesNotRun(r.status) && !s.NotRun() {
+		return outcomeUnknown
+	}
+	return r
+}
+
+// refuse writes a refusal, as far as the statement about the request allows it. timeLeft is
+// the time until the request's deadline; 0 when unknown.
+func (g *Gateway) refuse(w http.ResponseWriter, id string, r refusal, s notrun.Statement, timeLeft time.Duration) {
+	r = r.allowedBy(s)
 	g.metrics.Increment("refusals", r.reason)
 	retryAfter := spreadRetryAfter(r.retryAfter, g.state.random.Float64())
 	if timeLeft > 0 {
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/notrun"
 	"hawthornspar/core/route"
 	"hawthornspar/io/http1"
 )
@@ -28,11 +29,10 @@
 
 // noResponse handles an attempt that may have run and whose response is lost.
 func (x *exchange) noResponse(ctx context.Context, a *endpoints.Attempt, err error) (endpoints.Outcome, action, refusal) {
-	x.possibleRuns++
 	if ctx.Err() != nil {
 		return endpoints.Failed, finish, deadlineExceeded
 	}
-	x.gateway.log.Info("answer lost", "id", x.info.ID, "endpoint", a.Endpoint.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "error", err.Error(), "attempts", x.possibleRuns)
+	x.gateway.log.Info("answer lost", "id", x.info.ID, "endpoint", a.Endpoint.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "error", err.Error(), "attempts", x.runs.PossibleRuns())
 	x.checkForCrash(ctx, a, err)
 	if x.mayRetry() {
 		return endpoints.Failed, retry, outcomeUnknown
@@ -42,7 +42,7 @@
 
 // mayRetry reports whether the request may be sent again after it may have run.
 func (x *exchange) mayRetry() bool {
-	return x.route.Kind.Repeatable() && x.possibleRuns < max(x.route.MaxAttempts, 1)
+	return x.route.Kind.Repeatable() && x.runs.PossibleRuns() < max(x.route.MaxAttempts, 1)
 }
 
 // isOwnResponse reports whether a response belongs to this request. A response
@@ -70,29 +70,32 @@
 	head := x.gateway.dialect.ReadResponse(response.Header)
 	x.obeyNotices(a, response.StatusCode, head)
 	x.logNotRunClaim(a, conn, response.StatusCode, head)
-	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest:
-		x.discardResponse(conn, response, stop)
-		return endpoints.Misdirected, retry, misdirected
-	case head.NotRun:
+	if proof := x.proofIn(a, response.StatusCode, head); proof.Holds() {
+		x.withdraw(a, proof)
 		x.discardResponse(conn, response, stop)
+		if proof.Fact() == notrun.Misdirected {
+			return endpoints.Misdirected, retry, misdirected
+		}
 		return endpoints.Rejected, retry, endpointsFull
 	}
 	if !head.Sealed && response.StatusCode < http.StatusMultipleChoices {
 		conn.Close()
 		return x.noResponse(ctx, a, errors.WithStack(&UnsealedResponseError{}))
 	}
-	x.possibleRuns++
-	if promisesNotRun(response.StatusCode) && !x.route.Kind.Repeatable() {
-		x.discardResponse(conn, response, stop)
+	ambiguous := head.NotRun || promisesNotRun(response.StatusCode)
+	if ambiguous {
+		x.gateway.metrics.Increment("ambiguous_statuses", strconv.Itoa(response.StatusCode))
 		x.gateway.log.Info("ambiguous status", "id", x.info.ID, "endpoint", a.Endpoint.ID, "status", response.StatusCode)
-		return endpoints.ServerError, finish, outcomeUnknown
 	}
-	serverError := response.StatusCode >= http.StatusInternalServerError
-	if serverError && x.route.Kind.Repeatable() && x.mayRetry() && x.gateway.state.takeRetry(x.service) {
+	failed := ambiguous || response.StatusCode >= http.StatusInternalServerError
+	if failed && x.mayRetry() && x.gateway.state.takeRetry(x.service) {
 		x.discardResponse(conn, response, stop)
 		return endpoints.ServerError, retry, endpointError
 	}
+	if ambiguous {
+		x.discardResponse(conn, response, stop)
+		return endpoints.ServerError, finish, outcomeUnknown
+	}
 	if x.relayed.started && !continuesStream(response) {
 		x.discardResponse(conn, response, stop)
 		return endpoints.Succeeded, finish, outcomeUnknown
@@ -120,6 +123,12 @@
 	return endpoints.Failed, finish, outcomeUnknown
 }
 
+// proofIn returns the proof in the head of a response that the current attempt has not run.
+func (x *exchange) proofIn(a *endpoints.Attempt, status int, head ResponseInfo) notrun.Proof {
+	sent := notrun.Attempt{RequestID: x.info.ID, EndpointID: a.Endpoint.ID}
+	return notrun.FromResponse(sent, notrun.Response{Status: status, RequestID: head.RequestID, EndpointID: head.EndpointID, NotRun: head.NotRun, Sealed: head.Sealed})
+}
+
 // logNotRunClaim logs and counts a response that may be taken for the statement that the
 // request has not run, with all that speaks for and against it.
 func (x *exchange) logNotRunClaim(a *endpoints.Attempt, conn *http1.Conn, status int, head ResponseInfo) {
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -93,6 +93,9 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Cause }
 
+// NothingWritten reports that no byte was written.
+func (*UnsentError) NothingWritten() bool { return true }
+
 // NoResponseError reports that all or part of a request was written, and that no
 // response to it was read.
 type NoResponseError struct{ Cause error }
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -37,12 +37,18 @@
 // Error implements error.
 func (e *LimitError) Error() string { return "all connections to " + e.Address + " are in use" }
 
+// NothingWritten reports that no byte was written.
+func (*LimitError) NothingWritten() bool { return true }
+
 // DialError reports that no connection could be opened, so nothing was sent.
 type DialError struct{ Cause error }
 
 // Error implements error.
 func (e *DialError) Error() string { return "connect: " + e.Cause.Error() }
 
+// NothingWritten reports that no byte was written.
+func (*DialError) NothingWritten() bool { return true }
+
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
