core/notrun: a mark beside a seal or a success is no proof

Callers saw: an order ran up to three times when an endpoint sealed its response and also marked it as not run. Cause: the mark was read first. Class: one word of a head is taken for a proof while another says the opposite.

--- a/core/notrun/proof.go
+++ b/core/notrun/proof.go
@@ -71,9 +71,12 @@
 	Sealed     bool   // it says that the request has run
 }
 
-// FromResponse returns the proof that lies in the response to an attempt.
+// FromResponse returns the proof that lies in the response to an attempt. A seal or a
+// success says that the request has run, whatever else stands beside it.
 func FromResponse(a Attempt, r Response) Proof {
 	switch {
+	case r.Sealed || r.Status < http.StatusMultipleChoices:
+		return Proof{}
 	case r.Status == http.StatusMisdirectedRequest && isOther(a, r):
 		return Proof{Misdirected}
 	case r.NotRun:
