core/notrun: a mark without this request's id is no proof

Callers saw: an order ran up to three times when an endpoint ended its run with the mark and no id, on a new connection. Cause: a head without an id is taken for the request's own there, and so was its mark. A 421 that names another endpoint and no request stays a proof.

--- a/core/notrun/notrun_test.go
+++ b/core/notrun/notrun_test.go
@@ -30,6 +30,9 @@
 		{"a sealed rejection", Response{Status: 503, RequestID: "r1", NotRun: true, Sealed: true}, ""},
 		{"a sealed 421 of another endpoint", Response{Status: 421, RequestID: "r1", EndpointID: "e2", NotRun: true, Sealed: true}, ""},
 		{"a success with the mark", Response{Status: 200, RequestID: "r1", NotRun: true}, ""},
+		{"a rejection without an id", Response{Status: 503, NotRun: true}, ""},
+		{"a rejection of another request", Response{Status: 503, RequestID: "r0", NotRun: true}, ""},
+		{"a 421 of another endpoint to another request", Response{Status: 421, RequestID: "r0", EndpointID: "e2"}, ""},
 		{"a 408", Response{Status: 408, RequestID: "r1"}, ""},
 		{"a 429", Response{Status: 429, RequestID: "r1"}, ""},
 		{"a 503", Response{Status: 503, RequestID: "r1"}, ""},
@@ -41,6 +44,12 @@
 	}
 })
 
+var _ = Describe("A response to a request without an id", func() {
+	It("is no proof by the mark", func() {
+		Expect(FromResponse(Attempt{EndpointID: "e1"}, Response{Status: 503, NotRun: true}).Holds()).To(BeFalse())
+	})
+})
+
 var _ = Describe("A record", func() {
 	It("states that a request has not run while each attempt is withdrawn with a proof", func() {
 		var r Record
--- a/core/notrun/proof.go
+++ b/core/notrun/proof.go
@@ -72,14 +72,15 @@
 }
 
 // FromResponse returns the proof that lies in the response to an attempt. A seal or a
-// success says that the request has run, whatever else stands beside it.
+// success says that the request has run, whatever else stands beside it. A rejection has to
+// name the request; without an id it may be of another one.
 func FromResponse(a Attempt, r Response) Proof {
 	switch {
 	case r.Sealed || r.Status < http.StatusMultipleChoices:
 		return Proof{}
-	case r.Status == http.StatusMisdirectedRequest && isOther(a, r):
+	case r.Status == http.StatusMisdirectedRequest && isOther(a, r) && (r.RequestID == "" || r.RequestID == a.RequestID):
 		return Proof{Misdirected}
-	case r.NotRun:
+	case r.NotRun && r.RequestID != "" && r.RequestID == a.RequestID:
 		return Proof{Rejected}
 	}
 	return Proof{}
--- a/io/endpoint/attempt.go
+++ b/io/endpoint/attempt.go
@@ -98,7 +98,7 @@
 	case outcome == inbox.OutcomeNotSent && !a.sent.Load():
 		return notrun.FromError(&notrun.UnwrittenError{})
 	case outcome == inbox.OutcomeFull:
-		return notrun.FromResponse(notrun.Attempt{}, notrun.Response{NotRun: true})
+		return notrun.FromResponse(notrun.Attempt{RequestID: a.runID()}, notrun.Response{Status: http.StatusTooManyRequests, RequestID: a.runID(), NotRun: true})
 	}
 	return notrun.Proof{}
 }
