gateway: a request goes to the same address again on a new connection only

Callers saw: an order ran twice where its endpoint was registered under two ids at one address (a new incarnation before the old row lapsed). The 421 of the first attempt, written once more on the kept connection, bore the id of the second attempt, and was taken for the answer to it.

Cause: an id names a request, not an attempt, and the pool hands out the connection that was used last. Class: a late copy of an earlier response ("extra answers") proves what it says of another send.

Change: an address to which the request was sent before gets a new connection, on which nothing earlier can arrive.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"hawthornspar/core/endpoints"
@@ -10,6 +11,7 @@
 	"hawthornspar/core/notrun"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
+	"hawthornspar/io/http1"
 )
 
 // minAttemptTime is the least time before the deadline that is worth an
@@ -45,6 +47,7 @@
 
 	reservation  *escrow.Reservation
 	attempted    map[string]bool // endpoints that were chosen for earlier attempts
+	addresses    []string        // to which earlier attempts were sent
 	unreachable  int             // attempts that did not reach their endpoint
 	attemptsSent int             // attempts that had a connection
 	runs         notrun.Record   // attempts that an endpoint may have run
@@ -179,7 +182,7 @@
 
 // attempt sends the request to one endpoint and relays its response.
 func (x *exchange) attempt(ctx context.Context, a *endpoints.Attempt) (endpoints.Outcome, action, refusal) {
-	conn, err := x.gateway.pool.Get(ctx, a.Endpoint.Address, x.gateway.state.maxConnections(x.service))
+	conn, err := x.connect(ctx, a.Endpoint.Address)
 	if err != nil || !conn.Reused() {
 		x.gateway.congestion.recordDial(err)
 	}
@@ -193,6 +196,7 @@
 		conn.Close()
 		return endpoints.Inconclusive, retry, endpointLeft
 	}
+	x.addresses = append(x.addresses, a.Endpoint.Address)
 	x.attemptsSent++
 	x.runs.Begin(x.attemptsSent)
 	request := x.endpointRequest(a)
@@ -214,6 +218,16 @@
 	return x.handleResponse(ctx, a, conn, response, stop)
 }
 
+// connect returns a connection to an address. It is a new one if the request was sent there
+// before: on a kept one, a late copy of the earlier response would have the same id.
+func (x *exchange) connect(ctx context.Context, address string) (*http1.Conn, error) {
+	limit := x.gateway.state.maxConnections(x.service)
+	if slices.Contains(x.addresses, address) {
+		return x.gateway.pool.Open(ctx, address, limit)
+	}
+	return x.gateway.pool.Get(ctx, address, limit)
+}
+
 // withdraw takes the current attempt back, which a proof shows not to have run.
 func (x *exchange) withdraw(a *endpoints.Attempt, proof notrun.Proof) {
 	x.runs.Withdraw(x.attemptsSent, proof)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -58,6 +58,12 @@
 	if c := p.reuse(address); c != nil {
 		return c, nil
 	}
+	return p.Open(ctx, address, limit)
+}
+
+// Open returns a new connection to an address, even if there are idle ones. A limit of 0
+// allows any number of connections.
+func (p *Pool) Open(ctx context.Context, address string, limit int) (*Conn, error) {
 	if !p.acquire(address, limit) {
 		return nil, &LimitError{Address: address}
 	}
@@ -72,15 +78,11 @@
 // Probe opens a new connection to an address, even if there are idle ones, and
 // keeps it for a later request. A limit of 0 allows any number of connections.
 func (p *Pool) Probe(ctx context.Context, address string, limit int) error {
-	if !p.acquire(address, limit) {
-		return &LimitError{Address: address}
-	}
-	netConn, err := p.dialer.Dial(ctx, address)
+	c, err := p.Open(ctx, address, limit)
 	if err != nil {
-		p.release(address)
-		return &DialError{Cause: err}
+		return err
 	}
-	p.putIdle(newConn(netConn, p, address))
+	p.putIdle(c)
 	return nil
 }
 
