http1: a connection with an outstanding request is reset, not closed in order

Cause: Conn.Close sent FIN; only a further write would have shown such an endpoint that nobody reads. Change: Close resets the connection as long as a sent request has no complete response (SO_LINGER 0); idle connections are closed as before.

Evidence: "A run whose response is given up ...", two specs, failed before (the run lasted its 3 s), pass now.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,7 +36,8 @@
 	idleTimeout time.Duration
 	reused      bool
 	closeOnce   sync.Once
-	bodyDone    chan error // the result of writing a long body; nil when none is being written
+	outstanding atomic.Bool // a request was sent, and its response has not been read completely
+	bodyDone    chan error  // the result of writing a long body; nil when none is being written
 }
 
 func newConn(netConn net.Conn, p *Pool, address string) *Conn {
@@ -43,9 +45,15 @@
 	return &Conn{netConn: netConn, pool: p, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), head: limiter, idleTimeout: defaultIdleTimeout}
 }
 
-// Close closes the connection and interrupts reads and writes on it.
+// Close closes the connection and interrupts reads and writes on it. While a request is
+// outstanding the connection is reset: its peer may take an orderly end for that of the
+// request only, and work on.
 func (c *Conn) Close() {
 	c.closeOnce.Do(func() {
+		if t, ok := c.netConn.(*net.TCPConn); ok && c.outstanding.Load() {
+			// If it fails, the connection is closed without a reset.
+			_ = t.SetLinger(0)
+		}
 		c.netConn.Close()
 		c.pool.release(c.address)
 	})
@@ -121,6 +129,7 @@
 	if !long {
 		head = append(head, r.Body...)
 	}
+	c.outstanding.Store(true)
 	n, err := c.netConn.Write(head)
 	if err != nil && n == 0 {
 		return &UnsentError{Cause: err}
@@ -234,6 +243,7 @@
 // Finish returns the connection to the pool after its response was read
 // completely, or closes it if it cannot be reused.
 func (c *Conn) Finish(response *http.Response) {
+	c.outstanding.Store(false)
 	if response.Close || !c.bodyWritten() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
