endpoint: a 429 of an app service is no proof that a call has not run

Callers saw (own interface): an order whose app service ran it and answered 429 was sent again. Cause: callApp took any 429 for "full", and core/retry took "full" for the proof.

Change: an endpoint proves with X-Not-Run and the id of the run (the stand-in engine does); without a proof a non-idempotent call ends with the service's own response, or as outcome unknown; an idempotent one is queued as before, and its refusal no longer says "not run".

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -7,7 +7,6 @@
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
-	"hawthornspar/core/notrun"
 	"hawthornspar/core/outbox"
 	"hawthornspar/core/settle"
 	"hawthornspar/core/world"
@@ -68,7 +67,7 @@
 		r.ConfirmNotRun(e.Attempt, e.Proof)
 		s.retry(w, r, entity.PhaseQueued, notSent)
 	case inbox.OutcomeFull:
-		s.handleFull(w, r, e.Proof)
+		s.handleFull(w, r, e)
 	case inbox.OutcomeRejected:
 		s.fail(w, r, entity.ReasonEndpointRejected)
 	case inbox.OutcomeConnectionFailed:
@@ -79,15 +78,19 @@
 }
 
 // handleFull queues a request again whose endpoint had no capacity. A non-idempotent
-// request must not have run there, which only a proof shows.
-func (s *System) handleFull(w *world.World, r *entity.Request, proof notrun.Proof) {
-	if !proof.Holds() && !r.Idempotent {
+// request must not have run there, which only a proof shows; without one the endpoint's
+// response, if there is one, is the outcome.
+func (s *System) handleFull(w *world.World, r *entity.Request, e inbox.AttemptEnded) {
+	switch {
+	case e.Proof.Holds() || r.Idempotent:
+		r.ConfirmNotRun(e.Attempt, e.Proof)
+		w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "endpointFull"})
+		w.SetPhase(r, entity.PhaseQueued)
+	case e.Response.Status != 0:
+		s.complete(w, r, e)
+	default:
 		s.fail(w, r, entity.ReasonOutcomeUnknown)
-		return
 	}
-	r.ConfirmNotRun(r.Attempt, proof)
-	w.Emit(outbox.Count{Counter: world.CounterRetries, Reason: "endpointFull"})
-	w.SetPhase(r, entity.PhaseQueued)
 }
 
 // complete charges a request for its complete response. A model request is
--- a/io/endpoint/attempt.go
+++ b/io/endpoint/attempt.go
@@ -17,12 +17,16 @@
 	"hawthornspar/core/outbox"
 )
 
-// HTTP headers that engines accept in addition to the chat-completions protocol.
+// HTTP headers that endpoints accept in addition to their protocol.
 const (
 	headerRunID    = "X-Run-Id"
 	headerPriority = "X-Priority"
 )
 
+// headerNotRun is the header of a response by which an endpoint says that it has not run,
+// and will not run, the run that the value names.
+const headerNotRun = "X-Not-Run"
+
 // attempt is one request sent to one endpoint.
 type attempt struct {
 	client      *Client
@@ -35,7 +39,8 @@
 	crashed     bool        // the connection broke, and the endpoint had crashed or stayed unreachable
 	eventCount  int         // events passed on, without the final ones
 	usage       tokenUsage
-	finalEvents [][]byte // events without text at the end of the response
+	rejection   notrun.Proof // in the response to the request
+	finalEvents [][]byte     // events without text at the end of the response
 }
 
 // run sends the request and posts how the attempt ended.
@@ -98,11 +103,17 @@
 	case outcome == inbox.OutcomeNotSent && !a.sent.Load():
 		return notrun.FromError(&notrun.UnwrittenError{})
 	case outcome == inbox.OutcomeFull:
-		return notrun.FromResponse(notrun.Attempt{RequestID: a.runID()}, notrun.Response{Status: http.StatusTooManyRequests, RequestID: a.runID(), NotRun: true})
+		return a.rejection
 	}
 	return notrun.Proof{}
 }
 
+// readRejection keeps the proof, if a response has one, that the attempt has not run.
+func (a *attempt) readRejection(r *http.Response) {
+	notRun := r.Header.Get(headerNotRun)
+	a.rejection = notrun.FromResponse(notrun.Attempt{RequestID: a.runID()}, notrun.Response{Status: r.StatusCode, RequestID: notRun, NotRun: notRun != ""})
+}
+
 // callApp sends a call to an app service, once, and reads the complete response.
 func (a *attempt) callApp() (inbox.Outcome, entity.AppResponse) {
 	ctx, cancel := context.WithTimeout(a.ctx, appTimeout)
@@ -117,7 +128,8 @@
 		return a.failureOutcome(), entity.AppResponse{}
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusTooManyRequests {
+	a.readRejection(response)
+	if a.rejection.Holds() {
 		return inbox.OutcomeFull, entity.AppResponse{}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
@@ -130,5 +142,8 @@
 		Body:        body,
 	}
 	a.exchange.SetResponse(a.command.Attempt, appResponse)
+	if response.StatusCode == http.StatusTooManyRequests {
+		return inbox.OutcomeFull, appResponse
+	}
 	return inbox.OutcomeCompleted, appResponse
 }
--- a/io/endpoint/stream.go
+++ b/io/endpoint/stream.go
@@ -50,6 +50,7 @@
 		return a.cancelRun(a.failureOutcome())
 	}
 	if err == nil {
+		a.readRejection(response)
 		if outcome, ok := statusOutcome(response); !ok {
 			response.Body.Close()
 			return outcome
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -27,6 +27,7 @@
 const (
 	HeaderRunID    = "X-Run-Id"   // chosen by the client, to resume or cancel the run
 	HeaderPriority = "X-Priority" // an integer; lower values are admitted first
+	HeaderNotRun   = "X-Not-Run"  // in a response: the run of this id has not begun and will not
 )
 
 // Handler returns the engine's HTTP handler.
@@ -59,6 +60,7 @@
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
 	run := e.Submit(id, c.User, prompt.String(), c.MaxTokens, priority)
 	if run == nil {
+		w.Header().Set(HeaderNotRun, id)
 		http.Error(w, "queue is full", http.StatusTooManyRequests)
 		return
 	}
