soak: orders are counted at endpoints over all attempts of their callers

A caller sends a request that may run once again at another VM, under a new id, after 408, 421, 429, 503 or a reset; "one run an order" counts its runs over all of them (shown failing on a made history). "True refusal" no longer passes over sealed refusals.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -21,6 +21,8 @@
 	// probeOneIn sets the share of requests that go to a marker route, and so show
 	// which configuration is in force.
 	probeOneIn = 5
+	// maxOrderAttempts bounds the attempts of one request that may run only once.
+	maxOrderAttempts = 4
 	// requestTimeout is how long callers wait for the end of a response.
 	requestTimeout = 3 * time.Second
 )
@@ -59,8 +61,30 @@
 		ctx, disconnect = context.WithTimeout(ctx, disconnectAfter)
 		defer disconnect()
 	}
+	if !repeatable(q.Target) {
+		q.Order = q.ID
+	}
 	c.exchange(ctx, &q)
 	c.harness.record(q)
+	for attempt := 1; attempt < maxOrderAttempts && !disconnects && q.unread(); attempt++ {
+		q = c.sendAgain(q, attempt)
+	}
+}
+
+// sendAgain sends an order that has not run, as far as its caller knows, at another VM.
+func (c *caller) sendAgain(q Request, attempt int) Request {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	vms := c.harness.vms
+	v := vms[(c.number+attempt)%len(vms)]
+	next := Request{
+		ID: fmt.Sprintf("%s.%d", q.Order, attempt), Order: q.Order, VM: v.name, Account: q.Account, Target: q.Target, Body: q.Body,
+		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, Parts: q.Parts,
+	}
+	other := &caller{harness: c.harness, vm: v, client: standin.NewClient(v.listen)}
+	other.exchange(ctx, &next)
+	c.harness.record(next)
+	return next
 }
 
 // exchange sends a request and fills in the response.
@@ -73,6 +97,7 @@
 	if ctx.Err() != nil && !response.Complete {
 		q.Disconnected = q.Ended
 	}
+	q.Reset = response.Reset
 	q.Status, q.ResponseID, q.Seal, q.ResponseBody, q.Complete = response.Status, response.ID, response.Seal, response.Body, response.Complete
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -43,7 +43,7 @@
 
 // checks has a check for every invariant.
 var checks = []check{
-	duplicateRuns, falseRefusals, wrongResponses, corruptStreams, unrequestedRuns, overspending, runsAfterDrain,
+	duplicateRuns, duplicateOrders, falseRefusals, wrongResponses, corruptStreams, unrequestedRuns, overspending, runsAfterDrain,
 	staleConfigurations, configurationRollbacks, uncanceledRuns, shutdownLosses, excessRetries, crashes, unservedTargets,
 	excessCrashes, ignoredNotices,
 }
@@ -98,12 +98,35 @@
 	return found
 }
 
+// duplicateOrders finds orders that ran more than once over all attempts of their callers.
+func duplicateOrders(x *index) (found []Violation) {
+	runs := map[string]int{}
+	for _, q := range x.Requests {
+		runs[q.Order] += len(x.runs[q.ID])
+	}
+	delete(runs, "")
+	for order, n := range runs {
+		if n > 1 {
+			found = append(found, newViolation("one run an order", "%s ran %d times", order, n))
+		}
+	}
+	return found
+}
+
+// promised reports whether the status states that the request has not run.
+func (q *Request) promised() bool {
+	return q.Status == 429 || q.Status == 503 || q.Status == 408 || q.Status == 421
+}
+
+// unread reports whether the caller of a request that may run only once may send it again:
+// after a promise, or after a reset, the sign of a connection closed with the request unread.
+func (q *Request) unread() bool { return q.Order != "" && (q.promised() || q.Reset) }
+
 // falseRefusals finds requests that ran though the VM's own response has a
 // status which states that they did not.
 func falseRefusals(x *index) (found []Violation) {
 	for _, q := range x.Requests {
-		refused := q.Status == 429 || q.Status == 503 || q.Status == 408 || q.Status == 421
-		if refused && q.Seal == "" && len(x.runs[q.ID]) > 0 {
+		if q.promised() && len(x.runs[q.ID]) > 0 {
 			found = append(found, newViolation("true refusal", "%s got %d from %s and ran", q.ID, q.Status, q.VM))
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -90,6 +90,10 @@
 		corrupt         func(*History)
 	}{
 		{"an order that ran twice", "at most once", func(h *History) { h.Runs = append(h.Runs, h.Runs[0]) }},
+		{"an order that ran once for each of two attempts", "one run an order", func(h *History) {
+			addServed(h, "order.1", standin.OrderPrefix, 5.2, "a2")
+			request(h, "order").Order, request(h, "order.1").Order = "order", "order"
+		}},
 		{"a refusal of a request that ran", "true refusal", func(h *History) { q := request(h, "order"); q.Status, q.Seal = 503, "" }},
 		{"the response to another request", "own answer", func(h *History) { request(h, "look").ResponseID = "order" }},
 		{"a response of an endpoint that did not run the request", "own answer", func(h *History) { dropRuns(h, "look") }},
--- a/soak/history.go
+++ b/soak/history.go
@@ -15,6 +15,8 @@
 	Sent, Ended                   time.Time
 	Disconnected                  time.Time // when the caller closed the connection before the response ended; zero if the caller did not
 	Status                        int       // 0 without a response
+	Reset                         bool      // the connection was reset before a response
+	Order                         string    // of a request that may run only once: the same in all attempts of its caller
 	ResponseID, Seal              string    // X-Attempt-Id and X-Response-Seal, which holds the endpoint's id
 	ResponseBody                  string
 	Complete                      bool // the response arrived completely, as far as its HTTP framing shows
