gateway: a sealed success is delivered, whatever the mark beside it says

Cause: the mark alone made a response ambiguous. Change: only of a response that is no success. handleResponse is split: what replaces a response, and its relay. Evidence: "is answered by its sealed success, whatever the mark says" got 502 before, 200 now.

--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -82,39 +82,58 @@
 		conn.Close()
 		return x.noResponse(ctx, a, errors.WithStack(&UnsealedResponseError{}))
 	}
-	ambiguous := head.NotRun || promisesNotRun(response.StatusCode)
+	if next, refused := x.replacement(a, response, head); refused.status != 0 {
+		x.discardResponse(conn, response, stop)
+		return responseOutcome(hasFailed(response.StatusCode, head)), next, refused
+	}
+	return x.relayResponse(ctx, a, conn, response, stop)
+}
+
+// replacement returns what follows a response of a run that is not relayed: another attempt,
+// or a refusal that promises nothing. It returns no refusal if the response is relayed.
+func (x *exchange) replacement(a *endpoints.Attempt, response *http.Response, head ResponseInfo) (action, refusal) {
+	ambiguous := isAmbiguous(response.StatusCode, head)
 	if ambiguous {
 		x.gateway.metrics.Increment("ambiguous_statuses", strconv.Itoa(response.StatusCode))
 		x.gateway.log.Info("ambiguous status", "id", x.info.ID, "endpoint", a.Endpoint.ID, "status", response.StatusCode)
 	}
-	failed := ambiguous || response.StatusCode >= http.StatusInternalServerError
-	if failed && x.mayRetry() && x.gateway.state.takeRetry(x.service) {
-		x.discardResponse(conn, response, stop)
-		return endpoints.ServerError, retry, endpointError
+	if hasFailed(response.StatusCode, head) && x.mayRetry() && x.gateway.state.takeRetry(x.service) {
+		return retry, endpointError
 	}
-	if ambiguous {
-		x.discardResponse(conn, response, stop)
-		return endpoints.ServerError, finish, outcomeUnknown
-	}
-	if x.relayed.started && !continuesStream(response) {
-		x.discardResponse(conn, response, stop)
-		return endpoints.Succeeded, finish, outcomeUnknown
+	if ambiguous || x.relayed.started && !continuesStream(response) {
+		return finish, outcomeUnknown
 	}
+	return finish, refusal{}
+}
+
+// isAmbiguous reports whether a client could take the response to a request that may have
+// run for the statement that it has not.
+func isAmbiguous(status int, head ResponseInfo) bool {
+	return promisesNotRun(status) || head.NotRun && status >= http.StatusMultipleChoices
+}
+
+// hasFailed reports whether the endpoint has failed the request that it ran.
+func hasFailed(status int, head ResponseInfo) bool {
+	return status >= http.StatusInternalServerError || isAmbiguous(status, head)
+}
+
+// relayResponse sends the response of a run to the client, and decides what follows if it
+// ends too early.
+func (x *exchange) relayResponse(ctx context.Context, a *endpoints.Attempt, conn *http1.Conn, response *http.Response, stop func() bool) (endpoints.Outcome, action, refusal) {
 	err := x.relay(a, response)
-	switch {
-	case err == nil:
+	if err == nil {
 		stop()
 		conn.Finish(response)
 		x.recordEndOfRun(response)
-		return responseOutcome(response), finish, refusal{}
+		return responseOutcome(response.StatusCode >= http.StatusInternalServerError), finish, refusal{}
+	}
+	conn.Close()
+	switch {
 	case x.request.Context().Err() != nil:
-		conn.Close()
 		return endpoints.Inconclusive, finish, clientDisconnected
 	case ctx.Err() != nil:
-		conn.Close()
 		return endpoints.Succeeded, finish, deadlineExceeded
 	}
-	conn.Close()
 	x.gateway.log.Info("answer cut off", "id", x.info.ID, "endpoint", a.Endpoint.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "error", err.Error(), "events", x.relayed.events)
 	x.checkForCrash(ctx, a, err)
 	if x.route.Kind == route.Resumable && x.mayRetry() || !x.relayed.started && x.mayRetry() {
@@ -161,8 +180,8 @@
 }
 
 // responseOutcome distinguishes server errors from other complete responses.
-func responseOutcome(r *http.Response) endpoints.Outcome {
-	if r.StatusCode >= http.StatusInternalServerError {
+func responseOutcome(failed bool) endpoints.Outcome {
+	if failed {
 		return endpoints.ServerError
 	}
 	return endpoints.Succeeded
