--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"hawthornspar/core/endpoints"
@@ -11,18 +10,8 @@
 	"hawthornspar/core/notrun"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
-	"hawthornspar/io/http1"
 )
 
-// minAttemptTime is the least time before the deadline that is worth an
-// attempt: in less, an endpoint cannot do anything useful.
-const minAttemptTime = 5 * time.Millisecond
-
-// maxUnreachable bounds the attempts of one request that do not reach their
-// endpoint: when several endpoints have no free connection, the others are as
-// busy.
-const maxUnreachable = 3
-
 // exchange is one client request with its attempts and the state of its
 // response.
 type exchange struct {
@@ -55,15 +44,6 @@
 	relayed      relayed
 }
 
-// action is what follows an attempt.
-type action int
-
-// Actions after an attempt.
-const (
-	finish action = iota // end the request: the client has its response, or gets a refusal
-	retry                // make another attempt at another endpoint
-)
-
 // forward makes attempts until the client has its response or the request is
 // refused.
 func (x *exchange) forward() {
@@ -111,130 +91,6 @@
 	}
 }
 
-// nextAttempt chooses an endpoint and makes one attempt there, if the time, the
-// endpoints and the retry budget allow it. last is the refusal that the
-// previous attempt ended with. A retry is not charged to the retry budget if
-// the previous endpoint was unreachable, or if it was charged already.
-func (x *exchange) nextAttempt(ctx context.Context, last refusal) (action, refusal) {
-	if time.Until(x.deadline) < minAttemptTime {
-		return finish, x.deadlineRefusal()
-	}
-	if x.runs.PossibleRuns() == 0 && x.gateway.stopsBefore(x.deadline) {
-		return finish, stopping
-	}
-	if x.countUnreachable(last) {
-		return finish, x.finalRefusal(last)
-	}
-	if refused := x.claimTrials(ctx); refused != nil {
-		return finish, x.finalRefusal(*refused)
-	}
-	needsRetryBudget := x.attemptsSent > 0 && last != unreachable && last != endpointLeft && last != endpointError
-	if needsRetryBudget && !x.gateway.state.takeRetry(x.service) {
-		return finish, x.finalRefusal(retryBudgetExhausted)
-	}
-	attempt := x.gateway.state.startAttempt(x.properties, x.attempted)
-	if attempt == nil {
-		return finish, x.finalRefusal(x.pauseRefusal(last))
-	}
-	x.attempted[attempt.Endpoint.ID] = true
-	x.gateway.log.Info("sent", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "service", x.service, "running", attempt.RunningBefore, "uncached", attempt.PrefillTokens,
-		"registry", attempt.RegistryVersion, "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "left", time.Until(x.deadline).Milliseconds())
-	outcome, next, refused := x.attempt(ctx, attempt)
-	if x.request.Context().Err() != nil {
-		outcome = endpoints.Inconclusive
-	}
-	if x.gateway.state.endAttempt(attempt, outcome) {
-		x.gateway.log.Info("endpoint avoided", "endpoint", attempt.Endpoint.ID, "service", x.service, "request", x.info.ID, "reason", refused.reason)
-	}
-	if next == retry {
-		x.gateway.metrics.Increment("retries", refused.reason)
-		x.gateway.log.Info("retried", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "reason", refused.reason, "attempts", x.runs.PossibleRuns(), "sends", x.attemptsSent)
-	}
-	return next, refused
-}
-
-// countUnreachable counts the previous attempt if its endpoint was unreachable,
-// and reports whether the limit of such attempts is reached.
-func (x *exchange) countUnreachable(last refusal) bool {
-	if last == unreachable {
-		x.unreachable++
-	}
-	return x.unreachable >= maxUnreachable
-}
-
-// finalRefusal returns the refusal that ends the request: r if no endpoint can
-// have run the request, else outcomeUnknown.
-func (x *exchange) finalRefusal(r refusal) refusal {
-	if x.runs.PossibleRuns() > 0 {
-		return outcomeUnknown
-	}
-	return r
-}
-
-// deadlineRefusal returns the refusal of a request that has no time left for an
-// attempt.
-func (x *exchange) deadlineRefusal() refusal {
-	if x.runs.PossibleRuns() > 0 {
-		return deadlineExceeded
-	}
-	return deadlineExceededUnsent
-}
-
-// attempt sends the request to one endpoint and relays its response.
-func (x *exchange) attempt(ctx context.Context, a *endpoints.Attempt) (endpoints.Outcome, action, refusal) {
-	conn, err := x.connect(ctx, a.Endpoint.Address)
-	if err != nil || !conn.Reused() {
-		x.gateway.congestion.recordDial(err)
-	}
-	if err != nil {
-		return x.notSent(ctx, err)
-	}
-	stop := conn.CloseOnDone(ctx)
-	defer stop()
-	x.progress = progress{}
-	if !x.gateway.state.accepts(a) { // it left while the connection was opened
-		conn.Close()
-		return endpoints.Inconclusive, retry, endpointLeft
-	}
-	x.addresses = append(x.addresses, a.Endpoint.Address)
-	x.attemptsSent++
-	x.runs.Begin(x.attemptsSent)
-	request := x.endpointRequest(a)
-	x.gateway.uplink.add(estimatedHeadBytes/2 + len(request.Body))
-	err = conn.Send(request)
-	if err != nil {
-		conn.Close()
-		if proof := notrun.FromError(err); proof.Holds() {
-			x.withdraw(a, proof)
-			return x.notSent(ctx, err)
-		}
-		return x.noResponse(ctx, a, err)
-	}
-	response, err := conn.ReadResponse(x.request.Method, func(r *http.Response) bool { return x.isOwnResponse(r, conn.Reused()) })
-	if err != nil {
-		conn.Close()
-		return x.noResponse(ctx, a, err)
-	}
-	return x.handleResponse(ctx, a, conn, response, stop)
-}
-
-// connect returns a connection to an address. It is a new one if the request was sent there
-// before: on a kept one, a late copy of the earlier response would have the same id.
-func (x *exchange) connect(ctx context.Context, address string) (*http1.Conn, error) {
-	limit := x.gateway.state.maxConnections(x.service)
-	if slices.Contains(x.addresses, address) {
-		return x.gateway.pool.Open(ctx, address, limit)
-	}
-	return x.gateway.pool.Get(ctx, address, limit)
-}
-
-// withdraw takes the current attempt back, which a proof shows not to have run.
-func (x *exchange) withdraw(a *endpoints.Attempt, proof notrun.Proof) {
-	x.runs.Withdraw(x.attemptsSent, proof)
-	x.gateway.metrics.Increment("not_run_proofs", string(proof.Fact()))
-	x.gateway.log.Info("proved not run", "id", x.info.ID, "endpoint", a.Endpoint.ID, "proof", proof.Fact(), "sends", x.attemptsSent)
-}
-
 // settle ends the reservation and bills the tokens that the request used.
 func (x *exchange) settle() {
 	if x.reservation == nil {
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -80,6 +80,16 @@
 	return time.Duration(float64(d) * (1 + retryAfterSpread*(2*random-1)))
 }
 
+// promisesNotRun reports whether clients take a status for the promise that the request
+// has not run and never will, so that they send one again that may run only once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // allowedBy returns r if a statement allows it, else outcomeUnknown.
 func (r refusal) allowedBy(s notrun.Statement) refusal {
 	if promisesNotRun(r.status) && !s.NotRun() {
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -159,16 +159,6 @@
 		"requestID", head.RequestID, "answeredBy", head.EndpointID, "reused", conn.Reused(), "kind", x.route.Kind.String())
 }
 
-// promisesNotRun reports whether clients take a status for the promise that the request
-// has not run and never will, so that they send one again that may run only once.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // streamMediaType is the media type of streams of events.
 const streamMediaType = "text/event-stream"
 
