gateway: what is read ahead of all clients fits into the memory of a VM

Found while reading the diff: 64 KiB a connection are 304 MB (measured with the slices' growth) on the 4,100 connections that a VM of 184 MB can have; clients that send without end behind their requests could end it. Now 8 KiB, in reads of 1 KiB. "fits into half of the memory of a small VM" failed before (319,078,400 bytes against 96,468,992), passes now; go test -race ./io/gateway passes.

--- a/io/gateway/client_conn.go
+++ b/io/gateway/client_conn.go
@@ -9,8 +9,8 @@
 
 // Sizes of what is read ahead from a client.
 const (
-	readAheadBytes    = 4096     // one read
-	maxReadAheadBytes = 64 << 10 // all that is kept
+	readAheadBytes    = 1 << 10 // one read
+	maxReadAheadBytes = 8 << 10 // all that is kept
 )
 
 // clientConn is a connection of a client. Bytes that arrive while a request runs, such as
--- a/io/gateway/client_conn_test.go
+++ b/io/gateway/client_conn_test.go
@@ -70,6 +70,41 @@
 	})
 })
 
+// Descriptors and memory of the smallest VM.
+const (
+	smallVMDescriptors = 4_100
+	smallVMBytes       = 184 << 20
+)
+
+var _ = Describe("What is read ahead", func() {
+	// Guards against a VM whose memory is filled by clients that send without end behind
+	// their requests.
+	It("fits into half of the memory of a small VM, on all connections that it can have", func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		client, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer client.Close()
+		accepted, err := (&clientListener{l}).Accept()
+		Expect(err).NotTo(HaveOccurred())
+		defer accepted.Close()
+		c := accepted.(*clientConn)
+		Expect(client.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
+		// It fails as soon as the kernel takes no more.
+		_, _ = io.WriteString(client, strings.Repeat("x", 16<<20))
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		reading := func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.reading
+		}
+		Eventually(reading).Should(BeFalse())
+		Expect((cap(c.ahead) + readAheadBytes) * smallVMDescriptors).To(BeNumerically("<", smallVMBytes/2))
+	})
+})
+
 // segmentWriter writes a request in a few segments, so that its parts arrive apart.
 type segmentWriter struct {
 	conn net.Conn
