Cold endpoints: only a few owner VMs send to them, within the service's bound

The bound on requests to a cold endpoint holds over all VMs, and a part of it for each VM would be less than one request. Services without a stated rate are unchanged.

--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
+	"hawthornspar/core/coldstart"
 	"hawthornspar/core/retrybudget"
 	"hawthornspar/io/daemon"
 	"hawthornspar/io/gateway"
@@ -104,6 +105,6 @@
 		Retries:              retrybudget.Limit{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		BudgetReportInterval: s.BudgetReportInterval, BudgetGroups: s.BudgetGroups, StoreWritesPerSecond: s.StoreWritesPerSecond,
 		GracePeriod: s.GracePeriod, DrainNotice: s.DrainNotice, LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
-		MemoryBytes: int64(s.MemoryMB) << 20,
+		MemoryBytes: int64(s.MemoryMB) << 20, Cold: coldstart.Margin{Overrun: s.ColdOverrun, Slack: s.ColdSlack},
 	}
 }
--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -74,7 +74,7 @@
 	preferred := preferredEndpoint(r, candidates)
 	meanMs := meanFirstChunkMs(candidates)
 	for _, e := range candidates {
-		cost := e.estimateMs(r, e == preferred, domain, now) + e.healthPenaltyMs(meanMs, now) + e.returnPenaltyMs(now) + maxJitterMs*random.Float64()
+		cost := e.estimateMs(r, e == preferred, domain, now) + e.healthPenaltyMs(meanMs, now) + t.returnPenaltyMs(e, now) + maxJitterMs*random.Float64()
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -89,13 +89,17 @@
 	var all, healthy []*Endpoint
 	var notices Notices
 	for _, e := range t.byService[service] {
-		if !e.usable(now) {
+		if !t.accepts(e, now) {
 			notices.count(e, now)
 			continue
 		}
 		if attempted[e.ID] {
 			continue
 		}
+		if t.coldWait(e, now) > 0 {
+			notices.Cold++
+			continue
+		}
 		all = append(all, e)
 		if now.After(e.avoidUntil) {
 			healthy = append(healthy, e)
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -15,6 +15,9 @@
 	Slots    int    // requests that run concurrently
 	Draining bool   // accepts no new requests
 	Born     int64  // start of the endpoint in Unix milliseconds; a change discards what was known of it
+	// ColdRemaining is how much longer the endpoint is cold, from when the registration is
+	// read.
+	ColdRemaining time.Duration
 }
 
 // PrefixBlock is one block of a prompt. Endpoints cache a block together with
@@ -39,6 +42,7 @@
 	leavingSince        time.Time            // when the endpoint said that it is leaving; zero if it has not
 	pausedUntil         time.Time            // wants no requests of this VM before
 	blockLastUsed       map[string]time.Time // by ID of a prefix block
+	cold                coldness
 }
 
 // usable reports whether the endpoint accepts new requests.
--- a/core/endpoints/notice.go
+++ b/core/endpoints/notice.go
@@ -7,7 +7,7 @@
 const (
 	// maxPause bounds how long an endpoint that turned a request away gets none.
 	maxPause = 10 * time.Minute
-	// returnTime is how long after a pause an endpoint is chosen less often, so that
+	// returnTime is how long after a pause or a cold time an endpoint is chosen less often, so that
 	// not all VMs return at once, and maxReturnPenaltyMs what is added to its estimate
 	// at first.
 	returnTime         = 2 * time.Second
@@ -39,19 +39,20 @@
 
 func (e *Endpoint) paused(now time.Time) bool { return now.Before(e.pausedUntil) }
 
-// returnPenaltyMs returns the milliseconds that a pause which has ended adds to the
-// endpoint's estimate.
-func (e *Endpoint) returnPenaltyMs(now time.Time) float64 {
-	if e.pausedUntil.IsZero() {
+// returnPenaltyMs returns the milliseconds that a pause which has ended, or a cold time,
+// adds to an endpoint's estimate. It is largest throughout a cold time.
+func (t *Table) returnPenaltyMs(e *Endpoint, now time.Time) float64 {
+	end := later(e.pausedUntil, t.coldUntil(e))
+	if end.IsZero() {
 		return 0
 	}
-	rest := 1 - now.Sub(e.pausedUntil).Seconds()/returnTime.Seconds()
+	rest := 1 - now.Sub(end).Seconds()/returnTime.Seconds()
 	return maxReturnPenaltyMs * min(max(rest, 0), 1)
 }
 
 // Notices counts the endpoints of a service that get no requests because of what they
-// have said.
-type Notices struct{ Leaving, Paused int }
+// have said, or because they are cold.
+type Notices struct{ Leaving, Paused, Cold int }
 
 // count counts an endpoint that accepts no requests.
 func (n *Notices) count(e *Endpoint, now time.Time) {
@@ -68,7 +69,7 @@
 func (t *Table) PauseEnd(service string, now time.Time) time.Duration {
 	first := time.Duration(0)
 	for _, e := range t.byService[service] {
-		if e.usable(now) {
+		if t.accepts(e, now) && t.coldWait(e, now) == 0 {
 			return 0
 		}
 		if !e.registered(now) || !e.paused(now) {
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -1,6 +1,10 @@
 package endpoints
 
-import "time"
+import (
+	"time"
+
+	"hawthornspar/core/coldstart"
+)
 
 // maxPrefixBlocks bounds the prefix blocks that are tracked for one endpoint.
 // When there are more, all of them are discarded.
@@ -12,11 +16,17 @@
 	byID      map[string]*Endpoint
 	byService map[string][]*Endpoint
 	models    map[string]*model // by service; kept while the service has no endpoints
+
+	coldRules    coldRules
+	vm           coldstart.VM
+	ownerVersion int                  // changes with what decides the owners of cold endpoints
+	complete     bool                 // a complete registry was applied
+	departed     map[string]departure // dropped endpoints by id
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{}}
+	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{}, departed: map[string]departure{}}
 }
 
 // Change is the effect of a registration on the table.
@@ -92,6 +102,7 @@
 		return
 	}
 	delete(t.byID, id)
+	t.departed[id] = departure{born: e.Born, cold: e.cold}
 	list := t.byService[e.Service]
 	kept := make([]*Endpoint, 0, len(list))
 	for _, o := range list {
@@ -113,6 +124,7 @@
 	for _, id := range expired {
 		t.Drop(id)
 	}
+	t.forgetDepartures(now)
 	return expired
 }
 
@@ -138,7 +150,9 @@
 		default:
 			continue
 		}
-		list = append(list, e.Registration)
+		r := e.Registration
+		r.ColdRemaining = max(t.coldUntil(e).Sub(now), 0)
+		list = append(list, r)
 	}
 	return list, expiring
 }
@@ -149,9 +163,13 @@
 // Accepts reports whether an endpoint that was chosen earlier is still registered
 // and accepts new requests.
 func (t *Table) Accepts(e *Endpoint, now time.Time) bool {
-	return t.byID[e.ID] == e && e.usable(now)
+	return t.byID[e.ID] == e && t.accepts(e, now)
 }
 
+// accepts reports whether an endpoint accepts new requests, apart from limits while it is
+// cold.
+func (t *Table) accepts(e *Endpoint, now time.Time) bool { return e.usable(now) }
+
 // HasLeft reports whether an endpoint that was chosen earlier has left, or is leaving, by
 // the registry or its own word. One that wants no requests for a time has not.
 func (t *Table) HasLeft(e *Endpoint, now time.Time) bool {
@@ -162,7 +180,7 @@
 func (t *Table) Count(service string, now time.Time) int {
 	n := 0
 	for _, e := range t.byService[service] {
-		if e.usable(now) {
+		if t.accepts(e, now) {
 			n++
 		}
 	}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -64,6 +64,13 @@
 // order differs between VMs, so that the home VMs of a group share the load.
 func OrderFor(vm string, homes []VM) []VM { return rendezvousOrder(homes, "from/"+vm+"/") }
 
+// First returns the first n of vms in the order that rendezvous hashing gives them for a
+// key, or all if there are fewer.
+func First(n int, key string, vms []VM) []VM {
+	ordered := rendezvousOrder(vms, key+"/")
+	return ordered[:min(n, len(ordered))]
+}
+
 // rendezvousOrder returns a copy of vms, sorted by the hash of salt and name,
 // highest first.
 func rendezvousOrder(vms []VM, salt string) []VM {
--- a/core/route/document.go
+++ b/core/route/document.go
@@ -3,7 +3,11 @@
 // of an API key.
 package route
 
-import "time"
+import (
+	"time"
+
+	"hawthornspar/core/coldstart"
+)
 
 // Kind is how a route's requests may be retried and what form their responses
 // have.
@@ -67,6 +71,7 @@
 	Name           string
 	MaxConnections int     // connections to one endpoint from all VMs together
 	Engine         *Engine // nil for plain app services
+	Cold           coldstart.Tolerance
 }
 
 // Account is a client account.
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -46,17 +46,16 @@
 	if refused := x.claimTrials(ctx); refused != nil {
 		return finish, x.finalRefusal(*refused)
 	}
-	needsRetryBudget := x.attemptsSent > 0 && last != unreachable && last != endpointLeft && last != endpointError
-	if needsRetryBudget && !x.gateway.state.takeRetry(x.service) {
+	if x.attemptsSent > 0 && last.chargesRetryBudget() && !x.gateway.state.takeRetry(x.service) {
 		return finish, x.finalRefusal(retryBudgetExhausted)
 	}
 	attempt := x.gateway.state.startAttempt(x.properties, x.attempted)
 	if attempt == nil {
-		return finish, x.finalRefusal(x.pauseRefusal(last))
+		return finish, x.finalRefusal(x.shortageRefusal(last))
 	}
 	x.attempted[attempt.Endpoint.ID] = true
 	x.gateway.log.Info("sent", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "service", x.service, "running", attempt.RunningBefore, "uncached", attempt.PrefillTokens,
-		"registry", attempt.RegistryVersion, "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "left", time.Until(x.deadline).Milliseconds())
+		"registry", attempt.RegistryVersion, "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "cold", attempt.Notices.Cold, "left", time.Until(x.deadline).Milliseconds())
 	outcome, next, refused := x.attempt(ctx, attempt)
 	if x.request.Context().Err() != nil {
 		outcome = endpoints.Inconclusive
@@ -105,14 +104,15 @@
 		x.gateway.congestion.recordDial(err)
 	}
 	if err != nil {
+		x.recordBroken(a, err)
 		return x.notSent(ctx, err)
 	}
 	stop := conn.CloseOnDone(ctx)
 	defer stop()
 	x.progress = progress{}
-	if !x.gateway.state.accepts(a) { // it left while the connection was opened
+	if refused := x.gateway.state.admit(a); refused.status != 0 {
 		conn.Close()
-		return endpoints.Inconclusive, retry, endpointLeft
+		return endpoints.Inconclusive, retry, refused
 	}
 	x.addresses = append(x.addresses, a.Endpoint.Address)
 	x.attemptsSent++
@@ -122,6 +122,7 @@
 	err = conn.Send(request)
 	if err != nil {
 		conn.Close()
+		x.recordBroken(a, err)
 		if proof := notrun.FromError(err); proof.Holds() {
 			x.withdraw(a, proof)
 			return x.notSent(ctx, err)
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -66,6 +66,7 @@
 		s.recordLostResponse(run, in)
 		return
 	}
+	s.recordBroken(a.Endpoint)
 	g := x.gateway
 	g.metrics.Increment("endpoint_crashes", "connectionRefused")
 	if s.recordCrash(run, in) {
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -47,6 +47,8 @@
 	Leaving    bool // the endpoint is leaving
 	// RetryAfter is how long the endpoint wants no requests, if it turned this one away.
 	RetryAfter time.Duration
+	// ColdRemaining is how much longer the endpoint is cold; 0 if it states nothing.
+	ColdRemaining time.Duration
 }
 
 // Dialect translates between headers and what they state.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"hawthornspar/core/coldstart"
 	"hawthornspar/core/load"
 	"hawthornspar/core/retrybudget"
 	"hawthornspar/io/certificate"
@@ -37,6 +38,7 @@
 	DrainNotice          time.Duration // how long endpoints serve after they registered as draining; 0 when unknown
 	MemoryBytes          int64         // memory of the VM; 0 when unknown
 	LinkBytesPerSecond   float64       // bytes per second that the VM's link carries each way; 0 for no limit
+	Cold                 coldstart.Margin
 }
 
 // Gateway forwards client requests on one VM.
@@ -111,6 +113,9 @@
 	if err := g.metrics.RegisterGauge("quarantined_features", g.state.quarantinedFeatures); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterGauge("cold_endpoints", g.state.coldEndpoints); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
@@ -159,12 +164,13 @@
 }
 
 // Reload applies the settings that can change while the process runs: the retry
-// budget, the grace period, the seeds, the store's write rate and the drain
-// notice.
+// budget, the grace period, the seeds, the store's write rate, the drain notice
+// and the margin of cold endpoints.
 func (g *Gateway) Reload(s Settings) {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.state.retries.SetLimit(s.Retries)
+	g.state.setColdMargin(s.Cold)
 	g.reloaded.Store(reloadable(s))
 }
 
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -120,6 +120,8 @@
 		g.log.Info("VMs counted", "vms", len(vms), "before", s.vmCount, "from", from)
 	}
 	s.members, s.vmCount = vms, len(vms)
+	s.vm.Members = vms
+	s.endpoints.SetVM(s.vm)
 	s.otherRates = home.SumOtherRates(vms, g.settings.Name)
 	s.homesKnown = s.homesKnown || from != sourceStore || includesVM(vms, g.settings.Name)
 	for _, gr := range s.groups {
--- a/io/gateway/notice.go
+++ b/io/gateway/notice.go
@@ -8,7 +8,7 @@
 )
 
 // obeyNotices applies what an endpoint says of itself in the head of a response: that it
-// is leaving, or for how long it wants no requests. A misdirected request was answered
+// is leaving, or for how long it wants no requests or is cold. A misdirected request was answered
 // by another endpoint.
 func (x *exchange) obeyNotices(a *endpoints.Attempt, status int, head ResponseInfo) {
 	if status == http.StatusMisdirectedRequest {
@@ -21,16 +21,22 @@
 	if status == http.StatusServiceUnavailable && s.recordPause(a.Endpoint, head.RetryAfter) {
 		log.Info("endpoint paused", "endpoint", a.Endpoint.ID, "service", x.service, "request", x.info.ID, "for", head.RetryAfter)
 	}
+	if head.ColdRemaining > 0 && s.recordCold(a.Endpoint, head.ColdRemaining) {
+		log.Info("endpoint cold", "endpoint", a.Endpoint.ID, "service", x.service, "for", head.ColdRemaining, "by", "response", "request", x.info.ID, "status", status)
+	}
 }
 
-// pauseRefusal returns the refusal of a request for which no endpoint is left: last, or
-// endpointsPaused if the first of them wants requests again at a known time.
-func (x *exchange) pauseRefusal(last refusal) refusal {
-	wait := x.gateway.state.pauseEnd(x.service)
+// shortageRefusal returns the refusal of a request for which no endpoint is left: last, or
+// endpointsPaused or endpointsCold if the first of them takes requests again at a known time.
+func (x *exchange) shortageRefusal(last refusal) refusal {
+	s := x.gateway.state.shortage(x.service)
+	refused, wait := endpointsPaused, s.pauseEnd
+	if s.coldEnd > 0 && (wait == 0 || s.coldEnd < wait) {
+		refused, wait = endpointsCold, s.coldEnd
+	}
 	if wait == 0 {
 		return last
 	}
-	refused := endpointsPaused
 	// Retry-After varies either way; nobody should return before the time.
 	refused.retryAfter = time.Duration(float64(wait) / (1 - retryAfterSpread))
 	return refused
@@ -52,10 +58,17 @@
 	return e.RecordPause(d, time.Now())
 }
 
-// pauseEnd returns the time until the first paused endpoint of a service wants requests
-// again; 0 if none is paused or another accepts requests.
-func (s *state) pauseEnd(service string) time.Duration {
+// shortage says why a service has no endpoint for a request.
+type shortage struct {
+	pauseEnd time.Duration // until the first paused endpoint wants requests; 0 for none
+	coldEnd  time.Duration // until the first cold endpoint may be sent to; 0 for none
+}
+
+// shortage returns why a service has no endpoint for a request. It is zero if one takes
+// requests.
+func (s *state) shortage(service string) shortage {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.PauseEnd(service, time.Now())
+	return shortage{pauseEnd: s.endpoints.PauseEnd(service, now), coldEnd: s.endpoints.ColdEnd(service, now)}
 }
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -63,6 +63,11 @@
 	// endpointsPaused ends a request when all endpoints have said that they want none
 	// for some time.
 	endpointsPaused = refusal{status: http.StatusServiceUnavailable, reason: "endpointsPaused"}
+	// endpointCold follows an attempt whose endpoint was cold and had got as many requests
+	// as this VM may send before the request was sent.
+	endpointCold = refusal{status: http.StatusServiceUnavailable, reason: "endpointCold", retryAfter: 300 * time.Millisecond}
+	// endpointsCold ends a request when all endpoints are cold and this VM may send to none.
+	endpointsCold = refusal{status: http.StatusServiceUnavailable, reason: "endpointsCold"}
 	// misdirected follows an attempt at an address that another endpoint has
 	// now.
 	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", retryAfter: 300 * time.Millisecond}
@@ -80,6 +85,12 @@
 	return time.Duration(float64(d) * (1 + retryAfterSpread*(2*random-1)))
 }
 
+// chargesRetryBudget reports whether an attempt that follows r as the end of another is
+// charged to the retry budget: the earlier one reached its endpoint, and is not charged yet.
+func (r refusal) chargesRetryBudget() bool {
+	return r != unreachable && r != endpointLeft && r != endpointCold && r != endpointError
+}
+
 // promisesNotRun reports whether clients take a status for the promise that the request
 // has not run and never will, so that they send one again that may run only once.
 func promisesNotRun(status int) bool {
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -32,6 +32,7 @@
 	if ctx.Err() != nil {
 		return endpoints.Failed, finish, deadlineExceeded
 	}
+	x.recordBroken(a, err)
 	x.gateway.log.Info("answer lost", "id", x.info.ID, "endpoint", a.Endpoint.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "error", err.Error(), "attempts", x.runs.PossibleRuns())
 	x.checkForCrash(ctx, a, err)
 	if x.mayRetry() {
@@ -134,6 +135,7 @@
 	case ctx.Err() != nil:
 		return endpoints.Succeeded, finish, deadlineExceeded
 	}
+	x.recordBroken(a, err)
 	x.gateway.log.Info("answer cut off", "id", x.info.ID, "endpoint", a.Endpoint.ID, "feature", x.requestFeature(), "parts", x.loggedParts(), "error", err.Error(), "events", x.relayed.events)
 	x.checkForCrash(ctx, a, err)
 	if x.route.Kind == route.Resumable && x.mayRetry() || !x.relayed.started && x.mayRetry() {
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"hawthornspar/core/coldstart"
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
 	"hawthornspar/core/home"
@@ -34,6 +35,8 @@
 	otherRates        float64   // client requests per second at the other VMs, as last read
 	random            endpoints.Random
 	quarantine        *quarantine.Table
+	vm                coldstart.VM // this VM, for cold endpoints
+	coldMargin        coldstart.Margin
 }
 
 // globalRandom is the random source of the process.
@@ -47,6 +50,7 @@
 		groups:  newGroups(s),
 		retries: retrybudget.New(s.Retries),
 		vmCount: defaultVMCount, random: globalRandom{}, quarantine: quarantine.NewTable(s.Name),
+		vm: coldstart.VM{Name: s.Name, StartedAt: time.Now()}, coldMargin: s.Cold,
 	}
 }
 
@@ -70,6 +74,7 @@
 		return false
 	}
 	s.routeTable = route.NewTable(d)
+	s.setColdMargin(s.coldMargin)
 	for _, a := range d.Accounts {
 		if a.Prepaid == nil {
 			s.group(a.Name).budgets.Configure(a.Name, 0, false)
@@ -94,13 +99,6 @@
 	return attempt
 }
 
-// accepts reports whether an attempt's endpoint still accepts new requests.
-func (s *state) accepts(attempt *endpoints.Attempt) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.endpoints.Accepts(attempt.Endpoint, time.Now())
-}
-
 // hasLeft reports whether an attempt's endpoint has left or is leaving.
 func (s *state) hasLeft(attempt *endpoints.Attempt) bool {
 	s.mu.Lock()
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -158,6 +158,7 @@
 	g.state.registryKnown = true
 	g.state.mu.Unlock()
 	g.changeRegistry(c, version, expiresAt)
+	g.state.setRegistryComplete()
 }
 
 // changeRegistry applies changes of the registry.
@@ -170,7 +171,7 @@
 		g.log.Info("registration unreadable", "endpoint", id)
 	}
 	for _, r := range c.Put {
-		change := s.endpoints.Put(r)
+		change := g.register(r)
 		if change == endpoints.Restarted {
 			g.confirmCrash(r.ID, r.Born)
 		}
@@ -192,6 +193,17 @@
 	g.sweep(time.Now())
 }
 
+// register applies a registration. The caller holds the state's lock.
+func (g *Gateway) register(r endpoints.Registration) endpoints.Change {
+	t, now := g.state.endpoints, time.Now()
+	before := t.ColdLeft(r.ID, now)
+	change := t.Register(r, now)
+	if left := t.ColdLeft(r.ID, now); before == 0 && left > 0 {
+		g.log.Info("endpoint cold", "endpoint", r.ID, "service", r.Service, "for", left, "by", "registry")
+	}
+	return change
+}
+
 // sweep drops the endpoints that have expired. The caller holds the state's
 // lock.
 func (g *Gateway) sweep(now time.Time) {
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -35,6 +35,8 @@
 	DrainNotice          time.Duration `validate:"min=0,max=10m" flag:"HAWTHORNSPAR_DRAIN_NOTICE" reload:"yes"`
 	LinkMbps             float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_LINK_MBPS"`
 	MemoryMB             int           `validate:"min=0" flag:"HAWTHORNSPAR_MEMORY_MB"`
+	ColdOverrun          float64       `validate:"min=0,max=1000" flag:"HAWTHORNSPAR_COLD_OVERRUN" reload:"yes"`
+	ColdSlack            float64       `validate:"min=0,max=1000000" flag:"HAWTHORNSPAR_COLD_SLACK" reload:"yes"`
 	Verbosity            int           `validate:"min=0,max=2" flag:"HAWTHORNSPAR_VERBOSITY"`
 }
 
