Evacuation of failure domains, and stale knowledge of the registry

The operator's rows of evacuated domains are read with the configuration, and are part of a VM's view, so that VMs out of reach of the store learn them too. A VM that nobody has confirmed the registry to asks another VM, and sends nothing before endpoints that it does not know to leave can be gone.

--- a/core/endpoints/cold.go
+++ b/core/endpoints/cold.go
@@ -143,6 +143,9 @@
 	if !e.cold.brokenAt.IsZero() {
 		until = later(until, e.cold.brokenAt.Add(tolerance.Start+registryDelay))
 	}
+	if ended, ok := t.evacuations.endedAt[e.Domain]; ok {
+		until = later(until, ended.Add(tolerance.Start))
+	}
 	return until
 }
 
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -66,3 +66,6 @@
 	// of the change knows to be missing, by id.
 	Expiring map[string]time.Duration
 }
+
+// Empty reports whether nothing has changed.
+func (c RegistryChange) Empty() bool { return len(c.Put)+len(c.Removed)+len(c.Unreadable) == 0 }
--- a/core/endpoints/notice.go
+++ b/core/endpoints/notice.go
@@ -51,8 +51,8 @@
 }
 
 // Notices counts the endpoints of a service that get no requests because of what they
-// have said, or because they are cold.
-type Notices struct{ Leaving, Paused, Cold int }
+// have said, or because they are cold or evacuated.
+type Notices struct{ Leaving, Paused, Cold, Evacuated int }
 
 // count counts an endpoint that accepts no requests.
 func (n *Notices) count(e *Endpoint, now time.Time) {
@@ -61,6 +61,8 @@
 		n.Leaving++
 	case e.paused(now):
 		n.Paused++
+	case e.registered(now): // and not usable, so its domain is evacuated
+		n.Evacuated++
 	}
 }
 
@@ -72,7 +74,7 @@
 		if t.accepts(e, now) && t.coldWait(e, now) == 0 {
 			return 0
 		}
-		if !e.registered(now) || !e.paused(now) {
+		if !e.registered(now) || !e.paused(now) || t.IsEvacuated(e) {
 			continue
 		}
 		if d := e.pausedUntil.Sub(now); first == 0 || d < first {
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -22,11 +22,12 @@
 	ownerVersion int                  // changes with what decides the owners of cold endpoints
 	complete     bool                 // a complete registry was applied
 	departed     map[string]departure // dropped endpoints by id
+	evacuations  evacuations
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{}, departed: map[string]departure{}}
+	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{}, departed: map[string]departure{}, evacuations: evacuations{map[string]bool{}, map[string]time.Time{}}}
 }
 
 // Change is the effect of a registration on the table.
@@ -168,7 +169,7 @@
 
 // accepts reports whether an endpoint accepts new requests, apart from limits while it is
 // cold.
-func (t *Table) accepts(e *Endpoint, now time.Time) bool { return e.usable(now) }
+func (t *Table) accepts(e *Endpoint, now time.Time) bool { return e.usable(now) && !t.IsEvacuated(e) }
 
 // HasLeft reports whether an endpoint that was chosen earlier has left, or is leaving, by
 // the registry or its own word. One that wants no requests for a time has not.
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -55,7 +55,7 @@
 	}
 	x.attempted[attempt.Endpoint.ID] = true
 	x.gateway.log.Info("sent", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "service", x.service, "running", attempt.RunningBefore, "uncached", attempt.PrefillTokens,
-		"registry", attempt.RegistryVersion, "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "cold", attempt.Notices.Cold, "left", time.Until(x.deadline).Milliseconds())
+		"registry", attempt.RegistryVersion, "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "cold", attempt.Notices.Cold, "evacuated", attempt.Notices.Evacuated, "left", time.Until(x.deadline).Milliseconds())
 	outcome, next, refused := x.attempt(ctx, attempt)
 	if x.request.Context().Err() != nil {
 		outcome = endpoints.Inconclusive
@@ -110,9 +110,9 @@
 	stop := conn.CloseOnDone(ctx)
 	defer stop()
 	x.progress = progress{}
-	if refused := x.gateway.state.admit(a); refused.status != 0 {
+	if refused := x.gateway.state.admit(a, x.gateway.reloaded.Load().DrainNotice); refused.status != 0 {
 		conn.Close()
-		return endpoints.Inconclusive, retry, refused
+		return x.turnBack(refused)
 	}
 	x.addresses = append(x.addresses, a.Endpoint.Address)
 	x.attemptsSent++
--- a/io/gateway/cold.go
+++ b/io/gateway/cold.go
@@ -10,12 +10,17 @@
 )
 
 // admit decides whether an attempt's request may be written to its endpoint now, and counts
-// it if so. It returns the reason against it, or a refusal without a status.
-func (s *state) admit(a *endpoints.Attempt) refusal {
+// it if so. It returns the reason against it, or a refusal without a status. notice is how
+// long endpoints serve after they have announced that they leave; 0 if that is unknown.
+func (s *state) admit(a *endpoints.Attempt, notice time.Duration) refusal {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case s.knowledge.Stale(notice, now):
+		return registryStale
+	case s.endpoints.IsEvacuated(a.Endpoint):
+		return endpointEvacuated
 	case !s.endpoints.Accepts(a.Endpoint, now): // it left while the connection was opened
 		return endpointLeft
 	case !s.endpoints.TakeSend(a.Endpoint, now):
@@ -24,6 +29,14 @@
 	return refusal{}
 }
 
+// turnBack returns what follows an attempt whose request may not be written.
+func (x *exchange) turnBack(refused refusal) (endpoints.Outcome, action, refusal) {
+	if refused == registryStale {
+		return endpoints.Inconclusive, finish, x.finalRefusal(refused)
+	}
+	return endpoints.Inconclusive, retry, refused
+}
+
 // recordBroken records for cold endpoints that a connection to an attempt's endpoint was
 // refused or reset, if err says so.
 func (x *exchange) recordBroken(a *endpoints.Attempt, err error) {
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -11,6 +11,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/evacuation"
 	"hawthornspar/core/home"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
@@ -66,11 +67,24 @@
 	Ms      int64
 }
 
+// Operations is what the operator has written, or has changed of it.
+type Operations struct {
+	Configuration *route.Document // nil for none, or no change
+	Evacuations   evacuation.Change
+}
+
+// empty reports whether the operator has written or changed nothing.
+func (o Operations) empty() bool {
+	return o.Configuration == nil && len(o.Evacuations.Started) == 0 && len(o.Evacuations.Ended) == 0
+}
+
 // Store is the platform's store. A version says where a watch continues. A
 // watch returns after wait at the latest.
 type Store interface {
-	Configuration(context.Context) (*route.Document, int64, error)
-	WatchConfiguration(ctx context.Context, version int64, wait time.Duration) (*route.Document, int64, error)
+	// Operations reads what the operator has written. With an error and a version, only
+	// the configuration could not be decoded.
+	Operations(context.Context) (Operations, int64, error)
+	WatchOperations(ctx context.Context, version int64, wait time.Duration) (Operations, int64, error)
 	Registry(context.Context) (endpoints.RegistryChange, int64, error)
 	WatchRegistry(ctx context.Context, version int64, wait time.Duration) (endpoints.RegistryChange, int64, error)
 	// Budgets reads the budgets of a group, and the store's clock in
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/evacuation"
 	"hawthornspar/core/home"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
@@ -32,6 +33,8 @@
 	RegistryVersion int64                    `json:"registryVersion"`
 	VMs             []home.VM                `json:"vms,omitempty"`
 	Quarantines     quarantine.Change        `json:"quarantines"`
+	Evacuations     *evacuation.View         `json:"evacuations,omitempty"`
+	VM              string                   `json:"vm"` // name of the VM whose view it is
 }
 
 // fleetQuery holds the versions that the requesting VM has.
@@ -73,7 +76,7 @@
 // authority unless it is nil.
 func (g *Gateway) serveFleetView(w http.ResponseWriter, r *http.Request, authority *certificate.Pair) {
 	v := g.state.fleetView(queryInt(r.URL, "configuration"), queryInt(r.URL, "registry"))
-	v.Authority = authority
+	v.Authority, v.VM = authority, g.settings.Name
 	if err := json.NewEncoder(w).Encode(v); err != nil {
 		g.log.V(1).Info("fleet view not written", "error", err.Error())
 	}
@@ -94,7 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := fleetView{RegistryVersion: s.registryVersion, VMs: s.members}
-	v.Quarantines = s.quarantine.Quarantines(time.Now())
+	v.Quarantines, v.Evacuations = s.quarantine.Quarantines(time.Now()), s.evacuations.View()
 	if s.routeTable != nil && s.routeTable.Document.Version > configuration {
 		v.Configuration = s.routeTable.Document
 	}
--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -18,8 +18,10 @@
 
 const (
 	// fleetPollPause is the time between requests for another VM's view while the
-	// store fails.
-	fleetPollPause = 700 * time.Millisecond
+	// store fails, or nobody confirms what this VM knows, and fleetCheckPeriod that
+	// between checks whether this is so.
+	fleetPollPause   = 700 * time.Millisecond
+	fleetCheckPeriod = 100 * time.Millisecond
 	// fleetTimeout bounds a request, whose response may contain a large
 	// configuration.
 	fleetTimeout = 600 * time.Millisecond
@@ -27,34 +29,49 @@
 	maxFleetBytes = 16 << 20
 )
 
-// fleetPoller requests the view of other VMs while the store fails.
+// fleetPoller requests the view of other VMs while the store fails, or nobody confirms what
+// this VM knows.
 type fleetPoller struct {
-	gateway *Gateway
-	client  *http.Client // for the control addresses of seeds
+	gateway  *Gateway
+	client   *http.Client // for the control addresses of seeds
+	wasStale bool
 }
 
 func (p *fleetPoller) loop(ctx context.Context) {
-	for sleep(ctx, jitter(fleetPollPause)) {
-		if p.gateway.configurationFailing.Load() {
+	next := time.Now().Add(jitter(fleetPollPause))
+	for sleep(ctx, fleetCheckPeriod) {
+		p.logStaleness()
+		if time.Now().After(next) && (p.gateway.configurationFailing.Load() || p.gateway.state.needsView()) {
 			p.poll(ctx)
+			next = time.Now().Add(jitter(fleetPollPause))
 		}
 	}
 }
 
+// logStaleness logs when this VM may send nothing by the registry that it knows, and when it
+// may again.
+func (p *fleetPoller) logStaleness() {
+	if stale := p.gateway.isStale(); stale != p.wasStale {
+		p.wasStale = stale
+		p.gateway.log.Info("registry stale", "stale", stale)
+	}
+}
+
 // poll requests the view of one VM and adopts what is newer in it.
 func (p *fleetPoller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	sent := time.Now()
 	if p.gateway.state.routes() == nil {
-		p.gateway.adoptNewest(p.fetchSeeds(ctx))
+		p.gateway.adoptNewest(p.fetchSeeds(ctx), sent)
 	}
 	view, from, err := p.fetchAny(ctx)
+	p.gateway.state.recordVMRequest(sent, err)
 	if err != nil {
 		p.gateway.log.V(1).Info("fleet view not received", "from", from, "error", err.Error())
 		return
 	}
-	p.gateway.state.recordRegistryCheck(sent)
+	p.gateway.state.recordView(view, sent)
 	p.gateway.adopt(view, from)
 }
 
@@ -98,10 +115,15 @@
 	r.results <- r
 }
 
-// adoptNewest takes over views, the newest configuration first: a VM that has just
+// adoptNewest takes over views that were requested at the given time, the newest
+// configuration first: a VM that has just
 // started must not begin with an older one than it can know of, as that may have
 // API keys that were withdrawn since.
-func (g *Gateway) adoptNewest(views []receivedView) {
+func (g *Gateway) adoptNewest(views []receivedView, sent time.Time) {
+	for _, v := range views {
+		g.adoptEvacuations(v.fleetView, v.from)
+		g.state.recordView(v.fleetView, sent)
+	}
 	slices.SortFunc(views, func(a, b receivedView) int {
 		return cmp.Or(cmp.Compare(b.configurationVersion(), a.configurationVersion()), cmp.Compare(b.RegistryVersion, a.RegistryVersion))
 	})
@@ -160,8 +182,13 @@
 		return fleetView{}, errors.WithStack(&StatusError{Status: response.StatusCode})
 	}
 	var view fleetView
-	err = json.NewDecoder(io.LimitReader(response.Body, maxFleetBytes)).Decode(&view)
-	return view, errors.Wrap(err, "VM's answer")
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxFleetBytes)).Decode(&view); err != nil {
+		return fleetView{}, errors.Wrap(err, "VM's answer")
+	}
+	if view.VM == p.gateway.settings.Name { // a seed may be this VM itself
+		return fleetView{}, errors.WithStack(&NoPeerError{})
+	}
+	return view, nil
 }
 
 // StatusError reports that another VM responded with an error status.
@@ -172,6 +199,7 @@
 
 // adopt takes over what another VM knows, where it is newer.
 func (g *Gateway) adopt(v fleetView, from string) {
+	g.adoptEvacuations(v, from)
 	if v.Configuration != nil {
 		g.log.Info("configuration from a VM", "from", from, "version", v.Configuration.Version)
 		g.configure(v.Configuration)
--- a/io/gateway/fleet_test.go
+++ b/io/gateway/fleet_test.go
@@ -74,14 +74,14 @@
 	}
 
 	It("begins with the newest configuration and registry that a seed has", func() {
-		g.adoptNewest([]receivedView{view(4, 40, "left"), view(7, 70, "there"), view(5, 60, "left")})
+		g.adoptNewest([]receivedView{view(4, 40, "left"), view(7, 70, "there"), view(5, 60, "left")}, time.Now())
 		Expect(g.state.routes().Document.Version).To(Equal(int64(7)))
 		Expect(g.state.endpoints.IDs()).To(ConsistOf("there"))
 	})
 
 	It("does not replace a registry by an older one", func() {
-		g.adoptNewest([]receivedView{view(7, 70, "there")})
-		g.adoptNewest([]receivedView{view(7, 60, "left")})
+		g.adoptNewest([]receivedView{view(7, 70, "there")}, time.Now())
+		g.adoptNewest([]receivedView{view(7, 60, "left")}, time.Now())
 		Expect(g.state.endpoints.IDs()).To(ConsistOf("there"))
 	})
 })
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -116,6 +116,9 @@
 	if err := g.metrics.RegisterGauge("cold_endpoints", g.state.coldEndpoints); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterGauge("evacuated_domains", g.state.evacuatedDomains); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
@@ -155,7 +158,7 @@
 	registry := &dependency{name: "registry"}
 	return []*watcher{
 		{
-			gateway: g, table: &configurationTable{g}, timeout: watchTimeout, store: &dependency{name: "configuration"},
+			gateway: g, table: &operationsTable{g}, timeout: watchTimeout, store: &dependency{name: "configuration"},
 			onAttempt: func(err error) { g.configurationFailing.Store(err != nil) },
 		},
 		{gateway: g, table: &registryTable{g, registry}, timeout: watchTimeout, store: registry},
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -133,13 +133,5 @@
 func (s *state) registryCovers(delay, notice time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return notice == 0 || s.registryFreshness.Covers(delay, notice, time.Now())
-}
-
-// recordRegistryCheck records that the store or another VM responded to a
-// request for the registry that was sent at the given time.
-func (s *state) recordRegistryCheck(sent time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.registryFreshness.Check(sent)
+	return notice == 0 || s.knowledge.Registry.Covers(delay, notice, time.Now())
 }
--- a/io/gateway/notice.go
+++ b/io/gateway/notice.go
@@ -27,14 +27,18 @@
 }
 
 // shortageRefusal returns the refusal of a request for which no endpoint is left: last, or
-// endpointsPaused or endpointsCold if the first of them takes requests again at a known time.
+// endpointsPaused or endpointsCold if the first of them takes requests again at a known time, or
+// domainEvacuated if all of them are evacuated.
 func (x *exchange) shortageRefusal(last refusal) refusal {
 	s := x.gateway.state.shortage(x.service)
 	refused, wait := endpointsPaused, s.pauseEnd
 	if s.coldEnd > 0 && (wait == 0 || s.coldEnd < wait) {
 		refused, wait = endpointsCold, s.coldEnd
 	}
-	if wait == 0 {
+	switch {
+	case s.evacuated:
+		return domainEvacuated
+	case wait == 0:
 		return last
 	}
 	// Retry-After varies either way; nobody should return before the time.
@@ -62,6 +66,8 @@
 type shortage struct {
 	pauseEnd time.Duration // until the first paused endpoint wants requests; 0 for none
 	coldEnd  time.Duration // until the first cold endpoint may be sent to; 0 for none
+	// evacuated is set if all endpoints are in evacuated failure domains.
+	evacuated bool
 }
 
 // shortage returns why a service has no endpoint for a request. It is zero if one takes
@@ -70,5 +76,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return shortage{pauseEnd: s.endpoints.PauseEnd(service, now), coldEnd: s.endpoints.ColdEnd(service, now)}
+	return shortage{
+		pauseEnd: s.endpoints.PauseEnd(service, now), coldEnd: s.endpoints.ColdEnd(service, now), evacuated: s.endpoints.AllEvacuated(service, now),
+	}
 }
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -42,6 +42,7 @@
 	retryBudgetExhausted   = refusal{status: http.StatusServiceUnavailable, reason: "retriesSpent", retryAfter: 300 * time.Millisecond}
 	linkCongested          = refusal{status: http.StatusServiceUnavailable, reason: "linkFull", retryAfter: otherVMRetryAfter, close: true}
 	processorOverloaded    = refusal{status: http.StatusServiceUnavailable, reason: "processorFull", retryAfter: otherVMRetryAfter, close: true}
+	registryStale          = refusal{status: http.StatusServiceUnavailable, reason: "registryStale", retryAfter: otherVMRetryAfter, close: true}
 	stopping               = refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: otherVMRetryAfter, close: true}
 	quarantined            = refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	deadlineExceededUnsent = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
@@ -68,6 +69,11 @@
 	endpointCold = refusal{status: http.StatusServiceUnavailable, reason: "endpointCold", retryAfter: 300 * time.Millisecond}
 	// endpointsCold ends a request when all endpoints are cold and this VM may send to none.
 	endpointsCold = refusal{status: http.StatusServiceUnavailable, reason: "endpointsCold"}
+	// endpointEvacuated follows an attempt whose endpoint's failure domain was evacuated
+	// before the request was sent.
+	endpointEvacuated = refusal{status: http.StatusServiceUnavailable, reason: "endpointEvacuated", retryAfter: 300 * time.Millisecond}
+	// domainEvacuated ends a request when all endpoints are in evacuated failure domains.
+	domainEvacuated = refusal{status: http.StatusServiceUnavailable, reason: "domainEvacuated", retryAfter: time.Second}
 	// misdirected follows an attempt at an address that another endpoint has
 	// now.
 	misdirected = refusal{status: http.StatusServiceUnavailable, reason: "misdirected", retryAfter: 300 * time.Millisecond}
@@ -88,7 +94,7 @@
 // chargesRetryBudget reports whether an attempt that follows r as the end of another is
 // charged to the retry budget: the earlier one reached its endpoint, and is not charged yet.
 func (r refusal) chargesRetryBudget() bool {
-	return r != unreachable && r != endpointLeft && r != endpointCold && r != endpointError
+	return r != unreachable && r != endpointLeft && r != endpointCold && r != endpointEvacuated && r != endpointError
 }
 
 // promisesNotRun reports whether clients take a status for the promise that the request
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -42,6 +42,10 @@
 		x.refuse(linkCongested)
 		return
 	}
+	if g.isStale() {
+		x.refuse(registryStale)
+		return
+	}
 	if refused := x.checkQuarantine(); refused != nil {
 		x.refuse(*refused)
 		return
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -8,6 +8,7 @@
 	"hawthornspar/core/coldstart"
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/evacuation"
 	"hawthornspar/core/home"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/retrybudget"
@@ -24,19 +25,20 @@
 	registryKnown bool // whether the store or another VM has sent the registry of endpoints
 	// registryVersion is the store's version that the known registry
 	// corresponds to.
-	registryVersion   int64
-	registryFreshness endpoints.Freshness
-	groups            []*group
-	retries           *retrybudget.Budget
-	members           []home.VM // VMs that are alive, as last read; nil when none are known
-	homesKnown        bool      // whether this VM knows the home VMs
-	vmCount           int       // number of VMs that share limits
-	ownRate           float64   // client requests per second at this VM
-	otherRates        float64   // client requests per second at the other VMs, as last read
-	random            endpoints.Random
-	quarantine        *quarantine.Table
-	vm                coldstart.VM // this VM, for cold endpoints
-	coldMargin        coldstart.Margin
+	registryVersion int64
+	knowledge       endpoints.Knowledge
+	evacuations     evacuation.Set
+	groups          []*group
+	retries         *retrybudget.Budget
+	members         []home.VM // VMs that are alive, as last read; nil when none are known
+	homesKnown      bool      // whether this VM knows the home VMs
+	vmCount         int       // number of VMs that share limits
+	ownRate         float64   // client requests per second at this VM
+	otherRates      float64   // client requests per second at the other VMs, as last read
+	random          endpoints.Random
+	quarantine      *quarantine.Table
+	vm              coldstart.VM // this VM, for cold endpoints
+	coldMargin      coldstart.Margin
 }
 
 // globalRandom is the random source of the process.
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -65,25 +65,37 @@
 	}
 }
 
-// configurationTable puts each new configuration in force.
-type configurationTable struct{ gateway *Gateway }
+// operationsTable puts each new configuration and the evacuations in force.
+type operationsTable struct{ gateway *Gateway }
 
-func (c *configurationTable) read(ctx context.Context) (int64, error) {
-	d, version, err := c.gateway.store.Configuration(ctx)
-	c.apply(d)
+func (o *operationsTable) read(ctx context.Context) (int64, error) {
+	sent := time.Now()
+	ops, version, err := o.gateway.store.Operations(ctx)
+	o.apply(ops, sent, sent, err == nil || version > 0)
 	return version, err
 }
 
-func (c *configurationTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
-	d, next, err := c.gateway.store.WatchConfiguration(ctx, version, watchHold)
-	c.apply(d)
+func (o *operationsTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
+	sent := time.Now()
+	ops, next, err := o.gateway.store.WatchOperations(ctx, version, watchHold)
+	responded := err == nil || next > version
+	o.apply(ops, sent, confirmedAt(sent, !ops.empty()), responded)
 	return next, 0, err
 }
 
-// apply puts a configuration in force, if there is one.
-func (c *configurationTable) apply(d *route.Document) {
-	if d != nil {
-		c.gateway.configure(d)
+// apply applies the response to a request that was sent at the given time, if there is one.
+// It confirms what is known up to another time. The evacuations are applied first, as a
+// configuration lets the VM serve.
+func (o *operationsTable) apply(ops Operations, sent, confirmed time.Time, responded bool) {
+	g := o.gateway
+	g.state.recordStoreRequest(sent, responded)
+	if !responded {
+		return
+	}
+	g.evacuate(ops.Evacuations, sourceStore)
+	g.state.recordEvacuationCheck(confirmed)
+	if ops.Configuration != nil {
+		g.configure(ops.Configuration)
 	}
 }
 
@@ -113,6 +125,7 @@
 func (r *registryTable) read(ctx context.Context) (int64, error) {
 	sent := time.Now()
 	change, version, err := r.gateway.store.Registry(ctx)
+	r.gateway.state.recordStoreRequest(sent, err == nil)
 	if err != nil {
 		return 0, err
 	}
@@ -124,10 +137,11 @@
 func (r *registryTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
 	sent := time.Now()
 	change, next, err := r.gateway.store.WatchRegistry(ctx, version, watchHold)
+	r.gateway.state.recordStoreRequest(sent, err == nil)
 	if err != nil {
 		return 0, 0, err
 	}
-	r.gateway.state.recordRegistryCheck(sent)
+	r.gateway.state.recordRegistryCheck(confirmedAt(sent, !change.Empty()))
 	r.gateway.changeRegistry(change, next, r.expiryTime())
 	return next, registryPause, nil
 }
