--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"hawthornspar/core/coldstart"
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/escrow"
+	"hawthornspar/core/evacuation"
 	"hawthornspar/core/home"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/retrybudget"
@@ -23,17 +25,20 @@
 	registryKnown bool // whether the store or another VM has sent the registry of endpoints
 	// registryVersion is the store's version that the known registry
 	// corresponds to.
-	registryVersion   int64
-	registryFreshness endpoints.Freshness
-	groups            []*group
-	retries           *retrybudget.Budget
-	members           []home.VM // VMs that are alive, as last read; nil when none are known
-	homesKnown        bool      // whether this VM knows the home VMs
-	vmCount           int       // number of VMs that share limits
-	ownRate           float64   // client requests per second at this VM
-	otherRates        float64   // client requests per second at the other VMs, as last read
-	random            endpoints.Random
-	quarantine        *quarantine.Table
+	registryVersion int64
+	knowledge       endpoints.Knowledge
+	evacuations     evacuation.Set
+	groups          []*group
+	retries         *retrybudget.Budget
+	members         []home.VM // VMs that are alive, as last read; nil when none are known
+	homesKnown      bool      // whether this VM knows the home VMs
+	vmCount         int       // number of VMs that share limits
+	ownRate         float64   // client requests per second at this VM
+	otherRates      float64   // client requests per second at the other VMs, as last read
+	random          endpoints.Random
+	quarantine      *quarantine.Table
+	vm              coldstart.VM // this VM, for cold endpoints
+	coldMargin      coldstart.Margin
 }
 
 // globalRandom is the random source of the process.
@@ -47,6 +52,7 @@
 		groups:  newGroups(s),
 		retries: retrybudget.New(s.Retries),
 		vmCount: defaultVMCount, random: globalRandom{}, quarantine: quarantine.NewTable(s.Name),
+		vm: coldstart.VM{Name: s.Name, StartedAt: time.Now()}, coldMargin: s.Cold,
 	}
 }
 
@@ -70,6 +76,7 @@
 		return false
 	}
 	s.routeTable = route.NewTable(d)
+	s.setColdMargin(s.coldMargin)
 	for _, a := range d.Accounts {
 		if a.Prepaid == nil {
 			s.group(a.Name).budgets.Configure(a.Name, 0, false)
@@ -94,13 +101,6 @@
 	return attempt
 }
 
-// accepts reports whether an attempt's endpoint still accepts new requests.
-func (s *state) accepts(attempt *endpoints.Attempt) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.endpoints.Accepts(attempt.Endpoint, time.Now())
-}
-
 // hasLeft reports whether an attempt's endpoint has left or is leaving.
 func (s *state) hasLeft(attempt *endpoints.Attempt) bool {
 	s.mu.Lock()
