escrow: home VMs move tokens that no VM can spend between its writes

A row's OfflineLimit bounds what its VM may commit before the next write. The rest may be moved by any home VM whose requests wait for more than it has, under the versions of both rows. The previous holder learns of it by the conflict over its own row.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -19,8 +19,9 @@
 	version          int64   // of the total's row; -1 when it has not been read
 	tokenRate        float64 // smoothed tokens that requests reserve per second
 	rateUpdated      time.Time
-	reservedSince    int64 // tokens reserved since rateUpdated
-	waiting          int64 // tokens that waiting requests need
+	reservedSince    int64         // tokens reserved since rateUpdated
+	waiting          int64         // tokens that waiting requests need
+	waitingRequests  map[int64]int // number of waiting requests, by the tokens that each needs
 	otherVMs         otherVMs
 	// conflicts counts the conflicts in a row over the account's total, and
 	// deferredAdjustments the next transactions that leave the total alone
@@ -57,7 +58,7 @@
 
 // availableIn returns how long it takes until that many tokens may be reserved
 // while the store is unreachable, and false when the VM has not been granted
-// enough.
+// enough, or may not commit so many before its next write.
 func (a *account) availableIn(tokens int64, now time.Time) (time.Duration, bool) {
 	needed := a.committed() + tokens
 	if needed > a.granted {
@@ -65,6 +66,9 @@
 	}
 	wait := time.Duration(0)
 	for _, b := range a.bounds {
+		if needed > b.allocation.offlineMaximum() {
+			return 0, false
+		}
 		wait = max(wait, b.at.Add(b.allocation.timeToCommit(needed)).Sub(now))
 	}
 	return wait, true
@@ -106,3 +110,28 @@
 	}
 	return max(a.waiting-a.available(now), 0)
 }
+
+// smallestWaiting returns the fewest tokens that a waiting request needs; 0 when
+// none waits.
+func (a *account) smallestWaiting() int64 {
+	smallest := int64(0)
+	for tokens := range a.waitingRequests {
+		if smallest == 0 || tokens < smallest {
+			smallest = tokens
+		}
+	}
+	return smallest
+}
+
+// addWaiting changes the number of waiting requests that need the given number of
+// tokens.
+func (a *account) addWaiting(tokens int64, requests int) {
+	a.waiting += tokens * int64(requests)
+	if a.waitingRequests == nil {
+		a.waitingRequests = map[int64]int{}
+	}
+	a.waitingRequests[tokens] += requests
+	if a.waitingRequests[tokens] == 0 {
+		delete(a.waitingRequests, tokens)
+	}
+}
--- a/core/escrow/budgets.go
+++ b/core/escrow/budgets.go
@@ -33,6 +33,9 @@
 	// deferredBurstTime is the time at the measured token rate whose spending
 	// becomes available at once after burstOnlyPeriod.
 	deferredBurstTime = time.Second
+	// offlineShare is the share of a VM's free tokens that it may spend before it
+	// writes its row again, however long that takes. Home VMs may move the rest.
+	offlineShare = 0.3
 	// slowRateFactor and fastRateFactor are the multiples of the measured token
 	// rate at which a VM may spend after burstOnlyPeriod and fastRateAfter. The
 	// fast rate is at least the one that uses up the free tokens in
@@ -51,15 +54,21 @@
 // plans the transactions that the caller sends to the store. It is not safe for
 // concurrent use.
 type Budgets struct {
-	policy        Policy
-	incarnation   string
-	address       string
-	vm            string
-	snapshot      Snapshot // of the last SetSnapshot
+	policy      Policy
+	incarnation string
+	address     string
+	vm          string
+	snapshot    Snapshot // of the last SetSnapshot
+	// rows are the newest known rows of the other VMs. Unlike those of snapshot,
+	// they may be of different moments.
+	rows          map[string]VersionedAllocations
+	moveConflicts int // conflicts in a row over moves
+	deferredMoves int // the next transactions that move nothing because of them
 	accounts      map[string]*account
 	sequence      int64         // of the last planned write
 	ready         bool          // the previous incarnation's allocations have been read
 	ownRowWritten bool          // the VM's row was written by this incarnation
+	written       VMAllocations // the VM's row as last known to have been written
 	closing       bool          // Close was called
 	previous      VMAllocations // of the previous incarnation, until the first write
 	previousEndMs int64         // store's clock by which the previous incarnation had ended
@@ -89,7 +98,7 @@
 // New returns the budgets of a VM's new incarnation. address is the IP:port at
 // which other VMs reach it.
 func New(vm, incarnation, address string, p Policy) *Budgets {
-	return &Budgets{policy: p, vm: vm, incarnation: incarnation, address: address, accounts: map[string]*account{}, homeVMs: 1}
+	return &Budgets{policy: p, vm: vm, incarnation: incarnation, address: address, accounts: map[string]*account{}, rows: map[string]VersionedAllocations{}, homeVMs: 1}
 }
 
 // SetHomes sets the number of home VMs of the accounts, and whether this VM is
@@ -153,10 +162,10 @@
 
 // AddWaiting adds the tokens of a request that could not be reserved and now
 // waits, until RemoveWaiting. The next transaction draws for it.
-func (b *Budgets) AddWaiting(name string, tokens int64) { b.account(name).waiting += tokens }
+func (b *Budgets) AddWaiting(name string, tokens int64) { b.account(name).addWaiting(tokens, 1) }
 
 // RemoveWaiting removes the tokens of a request that AddWaiting added.
-func (b *Budgets) RemoveWaiting(name string, tokens int64) { b.account(name).waiting -= tokens }
+func (b *Budgets) RemoveWaiting(name string, tokens int64) { b.account(name).addWaiting(tokens, -1) }
 
 // Settle ends a reservation. used is the number of tokens that the request
 // used; those beyond the reservation were never authorized and are not charged.
@@ -182,13 +191,6 @@
 	return tokens > b.snapshot.maxUnspent(name, a.prepaid)
 }
 
-// HasUndrawn reports whether the store, as last read, has enough undrawn tokens
-// for a request.
-func (b *Budgets) HasUndrawn(name string, tokens int64) bool {
-	a := b.accounts[name]
-	return a != nil && a.prepaid-a.drawnTotal >= tokens
-}
-
 // Balance is a VM's state of one account, for logs.
 type Balance struct {
 	Granted      int64
@@ -196,6 +198,7 @@
 	Available    int64 // may be reserved now
 	Undrawn      int64 // drawn by no VM, as last read
 	OtherVMsFree int64 // free at other VMs, as last read
+	Movable      int64 // may be moved from other VMs' rows at once
 }
 
 // Balance returns an account's balance.
@@ -204,12 +207,12 @@
 	if a == nil {
 		return Balance{}
 	}
-	return Balance{Granted: a.granted, Committed: a.committed(), Available: a.available(now), Undrawn: a.prepaid - a.drawnTotal, OtherVMsFree: a.otherVMs.free}
+	return Balance{Granted: a.granted, Committed: a.committed(), Available: a.available(now), Undrawn: a.prepaid - a.drawnTotal, OtherVMsFree: a.otherVMs.free, Movable: b.movableTotal(name, now)}
 }
 
 // AvailableIn returns how long it takes until that many tokens may be reserved
 // while the store is unreachable, and false when the VM has not been granted
-// enough.
+// enough, or may not commit so many before its next write.
 func (b *Budgets) AvailableIn(name string, tokens int64, now time.Time) (time.Duration, bool) {
 	a := b.accounts[name]
 	if a == nil {
--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -50,11 +50,20 @@
 	a := b.account(name)
 	a.granted += tokens
 	for i := range a.bounds {
-		a.bounds[i].allocation.Burst += tokens
+		a.bounds[i].allocation.addBorrowed(tokens)
 	}
 	b.dirty = true
 }
 
+// addBorrowed raises a bound by borrowed tokens, which are not part of the row's
+// Granted.
+func (a *Allocation) addBorrowed(tokens int64) {
+	a.Burst += tokens
+	if a.OfflineLimit > 0 {
+		a.OfflineLimit += tokens
+	}
+}
+
 // Shortfall returns the shortfall of one waiting request, and the number of
 // tokens to borrow for it and the requests after it.
 func (b *Budgets) Shortfall(name string, tokens int64, now time.Time) (need, want int64) {
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -18,8 +18,8 @@
 	if !b.isHome {
 		return now.Sub(b.plannedAt) >= b.policy.ReportInterval && b.returnable()
 	}
-	for _, a := range b.accounts {
-		if a.shortfall(now) > 0 && (a.drawnTotal < a.prepaid || a.granted-a.committed() > a.available(now)) {
+	for name, a := range b.accounts {
+		if a.shortfall(now) > 0 && b.mayCover(name, a, now) {
 			return true
 		}
 		if a.limited && a.burstLow() {
@@ -29,6 +29,12 @@
 	return now.Sub(b.plannedAt) >= b.policy.ReportInterval && (b.dirty || b.unbalanced())
 }
 
+// mayCover reports whether a write may make tokens available to waiting requests.
+func (b *Budgets) mayCover(name string, a *account, now time.Time) bool {
+	free := a.granted - a.committed()
+	return a.drawnTotal < a.prepaid || free > a.available(now) || len(b.chooseMoves(name, a, free, nil, now)) > 0
+}
+
 // returnable reports whether a VM that is not a home VM has tokens to return to
 // the store: those that it or its previous incarnation drew as a home VM.
 func (b *Budgets) returnable() bool {
@@ -72,6 +78,7 @@
 			b.planAccount(t, name, a, now)
 		}
 	}
+	b.deferredMoves = max(b.deferredMoves-1, 0)
 	b.sequence++
 	b.plannedAt = now
 	b.dirty = false
@@ -80,8 +87,8 @@
 }
 
 // planAccount adds an account's allocation and the change of its total to a
-// transaction. Returned tokens may not be spent from now on; drawn ones only
-// after Applied.
+// transaction, and moves of tokens for it. Returned tokens may not be spent from
+// now on; drawn and moved ones only after Applied.
 func (b *Budgets) planAccount(t *Transaction, name string, a *account, now time.Time) {
 	a.updateRate(now)
 	grant, reclaimed, unaccounted := int64(0), int64(0), int64(0)
@@ -107,7 +114,11 @@
 	if grant < 0 {
 		a.granted += grant
 	}
-	allocation := a.allocation(max(grant, 0), b.homeVMs)
+	moved := int64(0)
+	if a.version >= 0 {
+		moved = b.planMoves(t, name, a, a.granted-a.committed()+max(grant, 0), now)
+	}
+	allocation := a.allocation(max(grant, 0)+moved, b.homeVMs)
 	t.VMAllocations.Accounts[name] = allocation
 	a.bounds = append(a.bounds, bound{sequence: t.VMAllocations.Sequence, at: now, allocation: allocation})
 }
@@ -156,8 +167,10 @@
 	unspent := max(a.prepaid-a.drawnTotal, 0) + free + a.otherVMs.free
 	burst := int64(burstShare*float64(unspent)*a.weight(homeVMs)) + a.waiting
 	fast := max(fastRateFactor*a.tokenRate, float64(free)/fastDrainTime.Seconds())
+	burst = min(burst, free)
+	offline := min(max(int64(offlineShare*float64(free)), burst), free)
 	return Allocation{
 		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, TokenRate: int64(a.tokenRate),
-		Burst: min(burst, free), DeferredBurst: int64(a.tokenRate * deferredBurstTime.Seconds()), SlowPerSecond: int64(slowRateFactor * a.tokenRate), FastPerSecond: int64(fast),
+		Burst: burst, OfflineLimit: offline, DeferredBurst: int64(a.tokenRate * deferredBurstTime.Seconds()), SlowPerSecond: int64(slowRateFactor * a.tokenRate), FastPerSecond: int64(fast),
 	}
 }
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -25,6 +25,7 @@
 	totals      map[string]VersionedTotal
 	allocations map[string]VersionedAllocations
 	delayed     []delayedTransaction
+	moves       int // rows from which tokens were moved
 }
 
 // delayedTransaction is a transaction that has not reached the store yet.
@@ -40,6 +41,9 @@
 	for _, c := range t.Totals {
 		conditionsHold = conditionsHold && s.totals[c.Account].Version == c.Version
 	}
+	for _, m := range t.Moves {
+		conditionsHold = conditionsHold && s.allocations[m.VM].Version == m.Version
+	}
 	if !conditionsHold {
 		out.Current = s.snapshot()
 		return out
@@ -49,6 +53,10 @@
 	for _, c := range t.Totals {
 		s.totals[c.Account] = VersionedTotal{Total: c.Total, Version: s.version}
 	}
+	for _, m := range t.Moves {
+		s.allocations[m.VM] = VersionedAllocations{VMAllocations: copyOf(m.VMAllocations), Version: s.version}
+		s.moves++
+	}
 	out.Applied, out.Version = true, s.version
 	return out
 }
@@ -82,7 +90,6 @@
 	now     time.Time
 	started time.Time
 	frozen  bool
-	fenced  bool // another incarnation has taken over its row
 }
 
 // fleet simulates all VMs and the store in the run of one seed.
@@ -120,7 +127,7 @@
 	}
 	f.starts++
 	isHome := v.budgets == nil || v.budgets.IsHome()
-	v.running, v.frozen, v.fenced = nil, false, false
+	v.running, v.frozen = nil, false
 	v.started = v.now
 	v.budgets = New(v.name, fmt.Sprintf("%s-%d", v.name, f.starts), "10.0.0.1:1", Policy{ReportInterval: 500 * time.Millisecond})
 	v.budgets.SetHomes(simulatedVMs-1, isHome)
@@ -129,6 +136,24 @@
 	}
 }
 
+// replace ends a VM for good and starts one with a new name, so that
+// nobody takes over the old row.
+func (f *fleet) replace(v *vm) {
+	v.name = fmt.Sprintf("vm%d-%d", f.starts, simulatedVMs)
+	f.start(v)
+}
+
+// abandon adds a VM with a new name while the fleet is small, as when a cut-off or
+// frozen VM, which may come back, is taken for lost.
+func (f *fleet) abandon() {
+	if len(f.vms) >= simulatedVMs+2 {
+		return
+	}
+	v := &vm{name: fmt.Sprintf("vm%d-%d", f.starts, simulatedVMs), now: time.Unix(1_000, 0)}
+	f.vms = append(f.vms, v)
+	f.start(v)
+}
+
 // accountOf returns the name of a reservation's account.
 func (f *fleet) accountOf(v *vm, r *Reservation) string {
 	for name := range f.prepaid {
@@ -150,7 +175,13 @@
 // step does one random operation and lets some time elapse.
 func (f *fleet) step() {
 	v := f.vms[f.random.IntN(len(f.vms))]
-	switch f.random.IntN(41) {
+	switch f.random.IntN(47) {
+	case 43, 44, 45, 46:
+		f.waitFor(v)
+	case 41:
+		f.replace(v)
+	case 42:
+		f.abandon()
 	case 0:
 		f.storeUnreachable = !f.storeUnreachable
 	case 1:
@@ -262,7 +293,7 @@
 // request reserves tokens for a request. When that fails, the request waits
 // forever or gives up at once.
 func (f *fleet) request(v *vm) {
-	if v.frozen || v.fenced {
+	if v.frozen {
 		return
 	}
 	name, tokens := f.randomAccount(), 1+f.random.Int64N(2_000)
@@ -276,6 +307,16 @@
 	}
 }
 
+// waitFor makes a VM wait for a random number of tokens while it exchanges
+// transactions with the store, so that it moves tokens.
+func (f *fleet) waitFor(v *vm) {
+	name, tokens := f.randomAccount(), 1+f.random.Int64N(20_000)
+	v.budgets.AddWaiting(name, tokens)
+	f.exchange(v)
+	f.exchange(v)
+	v.budgets.RemoveWaiting(name, tokens)
+}
+
 // finish completes the oldest request of a VM with at least three quarters of
 // its reservation used.
 func (f *fleet) finish(v *vm) {
@@ -293,7 +334,7 @@
 // exchange reads the store if necessary and sends it the next transaction. The
 // request or the response may be lost or delayed.
 func (f *fleet) exchange(v *vm) {
-	if f.storeUnreachable || v.frozen || v.fenced {
+	if f.storeUnreachable || v.frozen {
 		return
 	}
 	if !v.budgets.Ready() || v.budgets.HasUnreadTotals() || f.random.IntN(6) == 0 {
@@ -326,7 +367,23 @@
 		v.budgets.Applied(t, out.Version)
 		return
 	}
-	v.fenced = !v.budgets.Conflict(t, out.Current)
+	Expect(v.budgets.Conflict(t, out.Current)).To(BeTrue(), "no other incarnation has taken over")
+}
+
+// spendAll lets all VMs spend what they may without another write, however long
+// that takes.
+func (f *fleet) spendAll() {
+	for _, v := range f.vms {
+		v.frozen = false
+	}
+	f.advance(time.Hour)
+	for _, v := range f.vms {
+		for _, name := range []string{"large", "small"} {
+			if r, ok := v.budgets.Reserve(name, max(v.budgets.Balance(name, v.now).Available, 0), v.now); ok {
+				v.running = append(v.running, r)
+			}
+		}
+	}
 }
 
 // overspent describes an account whose requests used, or may use, more than its
@@ -375,7 +432,10 @@
 }
 
 var _ = Describe("Budgets", func() {
-	It("never spends more than the prepaid budget, despite crashes, power loss, freezes, lost and delayed responses, loans and top-ups", func() {
+	moves := 0
+	AfterEach(func() { AddReportEntry("rows moved from", moves) })
+
+	It("never spends more than the prepaid budget, despite crashes, power loss, freezes, lost and delayed responses, loans, top-ups, and VMs replaced under new names", func() {
 		for seed := range uint64(propertySeeds) {
 			f := newFleet(seed)
 			for step := range stepsPerSeed {
@@ -387,6 +447,11 @@
 					Fail(fmt.Sprintf("seed %d, step %d: falsely exhausted: %s", seed, step, problem))
 				}
 			}
+			f.spendAll()
+			if problem := f.overspent(); problem != "" {
+				Fail(fmt.Sprintf("seed %d, all spend what they may: %s", seed, problem))
+			}
+			moves += f.store.moves
 		}
 	})
 })
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -5,12 +5,17 @@
 // that it has drawn or borrowed, so neither outages of the store nor network
 // partitions can cause overspending.
 //
-// An allocation also limits how fast its VM may spend. A restarted VM therefore
-// reclaims the tokens that its previous incarnation cannot have spent since it
-// last wrote its allocations.
+// An allocation also limits how fast its VM may spend, and how much before it
+// writes its row again. A restarted VM therefore reclaims the tokens that its
+// previous incarnation cannot have spent since it last wrote its allocations, and
+// home VMs may move the tokens of any VM's row that this VM cannot spend before
+// its next write, which then fails on the row's version.
 package escrow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Total is the row of a client account.
 type Total struct {
@@ -39,6 +44,9 @@
 	SlowPerSecond int64 `json:"perSecond"` // tokens that become available per second after burstOnlyPeriod
 	FastPerSecond int64 `json:"fast"`      // replaces SlowPerSecond after fastRateAfter
 	TokenRate     int64 `json:"rate"`      // tokens that requests reserve per second
+	// OfflineLimit is the most tokens that may be committed on top of Committed,
+	// however long the VM does not write its row; 0 for no such limit.
+	OfflineLimit int64 `json:"offline,omitempty"`
 }
 
 // free returns the tokens that are neither spent nor lent nor reserved.
@@ -57,6 +65,21 @@
 // maxCommitted returns the most tokens that the VM may have committed when the
 // given time has elapsed since it wrote the allocation.
 func (a Allocation) maxCommitted(elapsed time.Duration) int64 {
+	return min(a.accrued(elapsed), a.offlineMaximum())
+}
+
+// offlineMaximum returns the most tokens that the VM may have committed before
+// it writes the allocation again.
+func (a Allocation) offlineMaximum() int64 {
+	if a.OfflineLimit <= 0 {
+		return math.MaxInt64
+	}
+	return a.Committed + a.OfflineLimit
+}
+
+// accrued returns the most tokens that the burst and the rates allow to be
+// committed when the given time has elapsed since the write.
+func (a Allocation) accrued(elapsed time.Duration) int64 {
 	tokens := a.Committed + a.Burst
 	if elapsed < burstOnlyPeriod {
 		return tokens
@@ -67,7 +90,7 @@
 }
 
 // timeToCommit returns the time after the write from which the VM may have
-// committed the given number of tokens.
+// committed the given number of tokens, which is at most offlineMaximum.
 func (a Allocation) timeToCommit(committed int64) time.Duration {
 	if committed <= a.Committed+a.Burst {
 		return 0
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -15,6 +15,7 @@
 // rows still have the given versions.
 type Transaction struct {
 	Totals        []TotalChange
+	Moves         []Move        // from the rows of other VMs
 	VMAllocations VMAllocations // new content of the VM's row
 	Version       int64         // required of the VM's row; 0 when it must not exist
 }
@@ -32,6 +33,7 @@
 // SetSnapshot records a snapshot of all rows of the accounts' group.
 func (b *Budgets) SetSnapshot(s Snapshot) {
 	b.snapshot = s
+	b.recordRows(s)
 	b.recordTotals(s)
 	for name, a := range b.accounts {
 		if a.version < 0 {
@@ -94,16 +96,29 @@
 	if t == nil || t != b.pending {
 		return
 	}
+	b.applyGrants(t, version)
+	for _, c := range t.Totals {
+		b.recordTotal(c.Account, c.Total, version)
+	}
+	for _, m := range t.Moves {
+		b.recordRow(m.VM, VersionedAllocations{VMAllocations: m.VMAllocations, Version: version})
+	}
+}
+
+// applyGrants records the drawn and moved tokens of a transaction that the store
+// applied, and the version that the VM's row has.
+func (b *Budgets) applyGrants(t *Transaction, version int64) {
 	b.pending = nil
 	b.ownVersion = version
+	b.written = t.VMAllocations
 	b.previous = VMAllocations{}
 	b.ownRowWritten = true
 	for _, c := range t.Totals {
 		a := b.accounts[c.Account]
 		a.granted += max(c.Grant, 0)
 		a.conflicts = 0
-		a.drawnTotal, a.unaccountedTotal, a.version = c.Total.Drawn, c.Total.Unaccounted, version
 	}
+	b.applyMoves(t)
 	b.dropBoundsBefore(t.VMAllocations.Sequence)
 }
 
@@ -127,28 +142,38 @@
 // its tokens twice.
 //
 // When the VM's row shows that an earlier attempt of the same transaction was
-// applied, the transaction counts as applied. Before this incarnation's first
-// write, a changed row is the previous incarnation's last write, applied late.
-// Conflict returns false when another incarnation of this VM has taken over.
+// applied, the transaction counts as applied. Its rows may have changed since, so
+// that only the response tells their versions. A changed row with the content of
+// this incarnation's last write is one from which other VMs have moved tokens.
+// Before this incarnation's first write, a changed row is the previous
+// incarnation's last write, applied late or moved from. Conflict returns false
+// when another incarnation of this VM has taken over.
 func (b *Budgets) Conflict(t *Transaction, c Snapshot) bool {
 	if t == nil || t != b.pending {
 		return true
 	}
 	own := c.Allocations[b.vm]
 	if own.VMAllocations.Incarnation == b.incarnation && own.VMAllocations.Sequence == t.VMAllocations.Sequence {
-		b.Applied(t, own.Version)
+		b.applyGrants(t, own.Version)
+		b.adoptMoves(own)
+		b.recordRows(c)
 		b.recordTotals(c)
 		return true
 	}
 	b.pending = nil
 	b.undo(t)
 	b.deferAdjustments(t, c)
-	if own.Version != b.ownVersion {
-		if b.ownRowWritten {
-			return false
-		}
+	b.deferMoves(t, c)
+	switch {
+	case own.Version == b.ownVersion:
+	case !b.ownRowWritten:
 		b.TakeOver(own.VMAllocations, own.Version, b.previousEndMs)
+	case own.VMAllocations.Incarnation == b.incarnation && own.VMAllocations.Sequence == b.written.Sequence:
+		b.adoptMoves(own)
+	default:
+		return false
 	}
+	b.recordRows(c)
 	b.recordTotals(c)
 	b.dirty = true
 	b.plannedAt = time.Time{}
@@ -160,8 +185,8 @@
 const maxConflictDoublings = 4
 
 // deferAdjustments makes the next transactions leave those totals alone that
-// other VMs have changed meanwhile, so that the VM's own allocations, which no
-// other VM changes, are written without another conflict. The number is
+// other VMs have changed meanwhile, so that the VM's own allocations, which other
+// VMs rarely change, are written without another conflict. The number is
 // different for each VM and doubles in the mean with each conflict in a row.
 func (b *Budgets) deferAdjustments(t *Transaction, c Snapshot) {
 	for _, total := range t.Totals {
@@ -195,6 +220,13 @@
 	}
 }
 
+// recordRows records the rows of other VMs of a snapshot.
+func (b *Budgets) recordRows(c Snapshot) {
+	for vm, row := range c.Allocations {
+		b.recordRow(vm, row)
+	}
+}
+
 // recordTotals records the totals of a snapshot.
 func (b *Budgets) recordTotals(c Snapshot) {
 	for name, v := range c.Totals {
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -81,6 +81,7 @@
 	}
 	b.lastRead = time.Now()
 	b.observe(snapshot, storeMs, requestedAt)
+	b.reportFigures(time.Now())
 	return nil
 }
 
@@ -166,6 +167,9 @@
 		b.gateway.log.Info("budget drawn", "account", c.Account, "applied", o.Applied, "tokens", c.Grant, "reclaimed", c.Reclaimed, "unaccounted", c.Total.Unaccounted, "left", c.Undrawn,
 			"spent", t.VMAllocations.Accounts[c.Account].Spent, "sequence", t.VMAllocations.Sequence)
 	}
+	for _, m := range t.Moves {
+		b.gateway.log.Info("budget moved", "from", m.VM, "applied", o.Applied, "tokens", m.Tokens, "sequence", t.VMAllocations.Sequence)
+	}
 }
 
 // close returns the free tokens, as long as the store accepts them.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -61,6 +61,7 @@
 	borrower             *borrower
 	storeRelay           http.Handler // nil for none
 	repaymentSequences   sequences
+	figures              budgetFigures
 	reloaded             atomic.Pointer[Reloadable]
 	bufferedBytes        atomic.Int64 // bytes of request bodies in memory
 	trafficBytes         atomic.Int64 // bytes of requests and responses so far
@@ -111,6 +112,9 @@
 	if err := g.metrics.RegisterGauge("quarantined_features", g.state.quarantinedFeatures); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterSampledGauge("budget_tokens", g.figures.samples); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
--- a/io/gateway/lend.go
+++ b/io/gateway/lend.go
@@ -108,7 +108,7 @@
 	if covered {
 		response.RetryAfterMs = max(wait.Milliseconds(), 1)
 	}
-	if l.group.storeFailing.Load() || !covered && !budgets.HasUndrawn(account, need) {
+	if l.group.storeFailing.Load() || !covered && !budgets.Obtainable(account, need, now) {
 		return response, nil
 	}
 	return response, l.group.updated
--- a/io/gateway/reserve.go
+++ b/io/gateway/reserve.go
@@ -138,7 +138,7 @@
 	reservation, ok := gr.budgets.Reserve(account, tokens, time.Now())
 	changed = gr.updated
 	exhausted := gr.budgets.Exhausted(account, tokens)
-	drawable := gr.isActiveHome() && gr.budgets.HasUndrawn(account, tokens) && !gr.storeFailing.Load()
+	drawable := gr.isActiveHome() && gr.budgets.Obtainable(account, tokens, time.Now()) && !gr.storeFailing.Load()
 	need, _ := gr.budgets.Shortfall(account, tokens, time.Now())
 	s.mu.Unlock()
 	recent, known := g.borrower.recentShortfall(account, need)
@@ -161,5 +161,5 @@
 	isActiveHome := gr.isActiveHome()
 	g.state.mu.Unlock()
 	g.log.Info("budget short", "id", id, "account", account, "tokens", tokens, "granted", b.Granted, "committed", b.Committed,
-		"free", b.Available, "left", b.Undrawn, "others", b.OtherVMsFree, "home", isActiveHome)
+		"free", b.Available, "left", b.Undrawn, "others", b.OtherVMsFree, "movable", b.Movable, "home", isActiveHome)
 }
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -98,6 +98,29 @@
 	return errors.Wrap(err, "metric "+name)
 }
 
+// Sample is one value of a gauge with labels.
+type Sample struct {
+	Value  int64
+	Labels map[string]string // by name
+}
+
+// RegisterSampledGauge registers a gauge with labels. Each scrape calls read for
+// its values.
+func (r *Registry) RegisterSampledGauge(name string, read func() []Sample) error {
+	_, err := r.meter.Int64ObservableGauge("hawthornspar_"+name, metric.WithInt64Callback(
+		func(_ context.Context, o metric.Int64Observer) error {
+			for _, s := range read() {
+				var labels []attribute.KeyValue
+				for label, value := range s.Labels {
+					labels = append(labels, attribute.String(label, value))
+				}
+				o.Observe(s.Value, metric.WithAttributes(labels...))
+			}
+			return nil
+		}))
+	return errors.Wrap(err, "metric "+name)
+}
+
 // RegisterCounter registers a counter. Each scrape calls read for its value, which
 // must never decrease.
 func (r *Registry) RegisterCounter(name string, read func() int64) error {
