--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -63,6 +63,7 @@
 	borrower             *borrower
 	storeRelay           http.Handler // nil for none
 	repaymentSequences   sequences
+	figures              budgetFigures
 	reloaded             atomic.Pointer[Reloadable]
 	bufferedBytes        atomic.Int64 // bytes of request bodies in memory
 	trafficBytes         atomic.Int64 // bytes of requests and responses so far
@@ -107,16 +108,7 @@
 
 // Run serves until the context ends, then shuts down gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
-	if err := g.metrics.RegisterGauge("configuration_version", func() int64 { return g.state.versions().Configuration }); err != nil {
-		return err
-	}
-	if err := g.metrics.RegisterGauge("quarantined_features", g.state.quarantinedFeatures); err != nil {
-		return err
-	}
-	if err := g.metrics.RegisterGauge("cold_endpoints", g.state.coldEndpoints); err != nil {
-		return err
-	}
-	if err := g.metrics.RegisterGauge("evacuated_domains", g.state.evacuatedDomains); err != nil {
+	if err := g.registerGauges(); err != nil {
 		return err
 	}
 	if err := g.server.listen(); err != nil {
@@ -153,6 +145,24 @@
 	return nil
 }
 
+// registerGauges registers the gauges of the gateway's state.
+func (g *Gateway) registerGauges() error {
+	for _, gauge := range []struct {
+		name string
+		read func() int64
+	}{
+		{"configuration_version", func() int64 { return g.state.versions().Configuration }},
+		{"quarantined_features", g.state.quarantinedFeatures},
+		{"cold_endpoints", g.state.coldEndpoints},
+		{"evacuated_domains", g.state.evacuatedDomains},
+	} {
+		if err := g.metrics.RegisterGauge(gauge.name, gauge.read); err != nil {
+			return err
+		}
+	}
+	return g.metrics.RegisterSampledGauge("budget_tokens", g.figures.samples)
+}
+
 // watchers returns a watcher for each table of the store that VMs follow.
 func (g *Gateway) watchers() []*watcher {
 	registry := &dependency{name: "registry"}
