--- a/core/linkqueue/class.go
+++ b/core/linkqueue/class.go
@@ -40,6 +40,9 @@
 	return c.size - size
 }
 
+// smallest returns the least number of bytes of a request of the class.
+func (c *class) smallest() int { return 1 << c.size >> 1 }
+
 // remove removes an entry, and reports whether the class had it.
 func (c *class) remove(e *Entry) bool {
 	i := slices.Index(c.entries, e)
--- a/core/linkqueue/estimate.go
+++ b/core/linkqueue/estimate.go
@@ -51,7 +51,7 @@
 // requests that are served before it go on arriving as they did.
 func (q *Queue) waitInOrder(c *class, now time.Time) time.Duration {
 	free := q.freeRate(now)
-	ahead := max(q.Delay(now)-gateDelay, 0).Seconds() * q.Capacity
+	ahead := q.excess(now)
 	for _, d := range q.classes {
 		if c.before(d) {
 			break
@@ -76,7 +76,13 @@
 			older += len(d.entries)
 		}
 	}
-	return seconds(float64((older+1)*turnsPerOldest) * q.turnBytes / q.freeRate(now))
+	turns := float64((older + 1) * turnsPerOldest)
+	return seconds((q.excess(now) + turns*max(q.turnBytes, float64(c.smallest()))) / q.freeRate(now))
+}
+
+// excess returns the bytes of the link's backlog that must leave before a turn.
+func (q *Queue) excess(now time.Time) float64 {
+	return max(q.Delay(now)-gateDelay, 0).Seconds() * q.Capacity
 }
 
 // freeRate returns the bytes per second that responses leave to requests.
--- a/core/linkqueue/queue.go
+++ b/core/linkqueue/queue.go
@@ -172,6 +172,13 @@
 	return max(q.Delay(now)-q.threshold(q.next().Bytes), 0)
 }
 
+// TakeBack takes back the bytes of a request that was not sent after all.
+func (q *Queue) TakeBack(bytes int, now time.Time) {
+	if q.Capacity > 0 {
+		q.add(-bytes, now)
+	}
+}
+
 // Waiting returns the number of requests that wait.
 func (q *Queue) Waiting() int { return q.waiting }
 
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -43,6 +43,11 @@
 	if x.countUnreachable(last) {
 		return finish, x.finalRefusal(last)
 	}
+	// It waits before an endpoint is chosen, as another may be better after the wait.
+	if refused := x.awaitLink(ctx); refused != nil {
+		return finish, *refused
+	}
+	defer x.returnLinkBytes()
 	if refused := x.claimTrials(ctx); refused != nil {
 		return finish, x.finalRefusal(*refused)
 	}
@@ -117,9 +122,8 @@
 	x.addresses = append(x.addresses, a.Endpoint.Address)
 	x.attemptsSent++
 	x.runs.Begin(x.attemptsSent)
-	request := x.endpointRequest(a)
-	x.gateway.uplink.add(estimatedHeadBytes/2 + len(request.Body))
-	err = conn.Send(request)
+	x.linkBytes = 0
+	err = conn.Send(x.endpointRequest(a))
 	if err != nil {
 		conn.Close()
 		if proof := notrun.FromError(err); proof.Holds() {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -39,6 +39,7 @@
 	addresses    []string        // to which earlier attempts were sent
 	unreachable  int             // attempts that did not reach their endpoint
 	attemptsSent int             // attempts that had a connection
+	linkBytes    int             // counted for the link by awaitLink, and not sent yet
 	runs         notrun.Record   // attempts that an endpoint may have run
 	progress     progress        // of the response of the current attempt
 	relayed      relayed
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -93,7 +93,7 @@
 		log: logr.Discard(), metrics: m, crashesRecorded: make(chan struct{}, 1), started: time.Now(),
 	}
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
-	g.uplink.backlog.Capacity = s.LinkBytesPerSecond
+	g.uplink.queue.Capacity = s.LinkBytesPerSecond
 	g.reloaded.Store(reloadable(s))
 	for _, o := range options {
 		o(g)
@@ -111,6 +111,9 @@
 	if err := g.metrics.RegisterGauge("quarantined_features", g.state.quarantinedFeatures); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterGauge("link_queue_ms", func() int64 { return g.uplink.length().Milliseconds() }); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -22,12 +22,13 @@
 )
 
 // loadMonitor measures the VM's traffic, and makes the VM unready while its
-// link is near its capacity. The bytes of requests and responses together
+// link is near its capacity, or requests wait long for it. The bytes of requests and responses together
 // approximate the traffic in each direction, as the VM receives and sends each
 // of them once.
 type loadMonitor struct {
 	gateway  *Gateway
 	meter    load.Meter
+	queue    load.LinkQueue
 	requests load.Rate
 	counted  int64 // trafficBytes at the last sample
 }
@@ -44,11 +45,22 @@
 			l.gateway.metrics.Increment("link", linkState(l.meter.Busy()))
 			l.gateway.log.Info("link", "busy", l.meter.Busy(), "bytesPerSecond", int64(l.meter.Rate()), "capacity", int64(l.meter.Capacity))
 		}
-		l.gateway.linkBusy.Store(l.meter.Busy())
-		l.gateway.closeKeepAlive.Store(l.meter.ClosesConnections(now))
+		l.observeQueue(now)
+		l.gateway.linkBusy.Store(l.meter.Busy() || l.queue.Busy())
+		l.gateway.closeKeepAlive.Store(l.meter.ClosesConnections(now) || l.queue.ClosesConnections(now))
 	}
 }
 
+// observeQueue samples the length of the queue for the link.
+func (l *loadMonitor) observeQueue(now time.Time) {
+	length := l.gateway.uplink.length()
+	if !l.queue.Observe(length, now) {
+		return
+	}
+	l.gateway.metrics.Increment("link_queue", linkState(l.queue.Busy()))
+	l.gateway.log.Info("link queue", "busy", l.queue.Busy(), "queueMs", length.Milliseconds(), "waiting", l.gateway.uplink.waiting())
+}
+
 // ownRequestRate returns the client requests per second at this VM.
 func (s *state) ownRequestRate() float64 {
 	s.mu.Lock()
@@ -98,26 +110,6 @@
 	return c.detector.Congested(time.Now())
 }
 
-// uplink estimates how long sent bytes wait in the VM's own link.
-type uplink struct {
-	mu      sync.Mutex
-	backlog load.Backlog
-}
-
-// add counts bytes that are sent to an endpoint or a client.
-func (u *uplink) add(bytes int) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.backlog.Add(bytes, time.Now())
-}
-
-// delay returns how long bytes that are sent now wait.
-func (u *uplink) delay() time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.backlog.Delay(time.Now())
-}
-
 // overloaded reports whether a request would be queued in the VM's own link
 // until its deadline, or might reach an endpoint that has left: its client had
 // better try another VM.
