--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -79,14 +79,17 @@
 // has stopped reading must not hold the request for good.
 const maxWriteTime = 5 * time.Second
 
-// limitWrites limits the time for writing the response, and returns a function
-// that removes the limit for the next request on the connection.
+// limitWrites limits the time for writing the response, and ends a write at once when the
+// client leaves. It returns a function that removes the limit for the next request on the
+// connection.
 func (x *exchange) limitWrites() func() {
 	control := http.NewResponseController(x.writer)
 	if err := control.SetWriteDeadline(x.deadline.Add(maxWriteTime)); err != nil {
 		x.gateway.log.V(1).Info("no write deadline", "id", x.info.ID, "error", err.Error())
 	}
+	stop := context.AfterFunc(x.request.Context(), x.interruptWrites)
 	return func() {
+		stop()
 		// It fails only on a closed connection.
 		_ = control.SetWriteDeadline(time.Time{})
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"hawthornspar/io/certificate"
 	"hawthornspar/io/http1"
 	"hawthornspar/io/metrics"
+	"hawthornspar/io/relaybuffer"
 )
 
 // defaultVMCount is the number of VMs assumed until the list of VMs is known.
@@ -63,6 +64,7 @@
 	repaymentSequences   sequences
 	reloaded             atomic.Pointer[Reloadable]
 	bufferedBytes        atomic.Int64 // bytes of request bodies in memory
+	responses            *relaybuffer.Memory
 	trafficBytes         atomic.Int64 // bytes of requests and responses so far
 	requests             atomic.Int64 // client requests since the last sample
 	congestion           congestion
@@ -94,6 +96,7 @@
 	}
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
 	g.uplink.queue.Capacity = s.LinkBytesPerSecond
+	g.responses = relaybuffer.NewMemory(maxResponsesBytes(s.MemoryBytes))
 	g.reloaded.Store(reloadable(s))
 	for _, o := range options {
 		o(g)
@@ -114,6 +117,9 @@
 	if err := g.metrics.RegisterGauge("link_queue_ms", func() int64 { return g.uplink.length().Milliseconds() }); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterGauge("response_buffer_bytes", g.responses.Used); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
--- a/io/gateway/progress.go
+++ b/io/gateway/progress.go
@@ -77,16 +77,3 @@
 	}
 	g.logVerdicts()
 }
-
-// progressReader reads the body of a response that is no stream of events.
-type progressReader struct {
-	exchange *exchange
-	response *http.Response
-}
-
-// Read implements io.Reader.
-func (r *progressReader) Read(b []byte) (int, error) {
-	n, err := r.response.Body.Read(b)
-	r.exchange.recordProgress(n)
-	return n, err
-}
--- a/io/gateway/refusal.go
+++ b/io/gateway/refusal.go
@@ -46,6 +46,7 @@
 	quarantined            = refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	deadlineExceededUnsent = refusal{status: http.StatusServiceUnavailable, reason: "lateUnsent"}
 	deadlineExceeded       = refusal{status: http.StatusGatewayTimeout, reason: "late"}
+	responsesFull          = refusal{status: http.StatusBadGateway, reason: "responsesFull"}
 	outcomeUnknown         = refusal{status: http.StatusBadGateway, reason: "outcomeUnknown"}
 
 	// Parts of the headers of refusals.
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -13,6 +13,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/io/http1"
+	"hawthornspar/io/relaybuffer"
 )
 
 // relayBufferBytes is the size of one read from an endpoint.
@@ -90,18 +91,51 @@
 
 // relay sends a response to the client.
 func (x *exchange) relay(a *endpoints.Attempt, response *http.Response) error {
+	source := x.newResponseReader(response)
+	defer source.Close()
+	err := x.relayFrom(source, a, response)
+	if cut := source.Cut(); cut != nil {
+		return errors.WithStack(cut)
+	}
+	return err
+}
+
+// relayFrom sends a response to the client, whose body is read from source.
+func (x *exchange) relayFrom(source *relaybuffer.Reader, a *endpoints.Attempt, response *http.Response) error {
 	if x.route.Kind.IsStream() && response.StatusCode == http.StatusOK {
-		return x.relayStream(a, response)
+		return x.relayStream(source, a, response)
 	}
 	x.gateway.state.recordFirstChunk(a)
 	x.progress.error = response.StatusCode >= http.StatusMultipleChoices
 	x.recordProgress(0)
 	x.writeHead(response)
+	return x.relayBody(source)
+}
+
+// relayBody sends the body of a response that is no stream of events.
+func (x *exchange) relayBody(source *relaybuffer.Reader) error {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
-	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, &progressReader{x, response}, *buffer)
-	x.gateway.countResponseBytes(int(n))
-	return err
+	for {
+		n, err := source.Read(*buffer)
+		if n > 0 {
+			x.recordProgress(n)
+			x.gateway.countResponseBytes(n)
+			e := source.Write(func() error {
+				_, e := x.writer.Write((*buffer)[:n])
+				return e
+			})
+			if e != nil {
+				return e
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
 }
 
 // countResponseBytes counts bytes of a response that are sent to a client.
@@ -137,20 +171,25 @@
 
 // relayStream sends complete events as they arrive, so that an interrupted
 // stream can continue at another endpoint with no data repeated or missing.
-func (x *exchange) relayStream(a *endpoints.Attempt, response *http.Response) error {
+func (x *exchange) relayStream(source *relaybuffer.Reader, a *endpoints.Attempt, response *http.Response) error {
 	control := http.NewResponseController(x.writer)
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	resumedAfter := x.relayed.lastEvent
 	var pending []byte
 	for {
-		n, err := response.Body.Read(*buffer)
+		n, err := source.Read(*buffer)
 		// What was pending has no end of an event, but may have its beginning.
 		searched := max(len(pending)-len(eventEnd)+1, 0)
 		pending = append(pending, (*buffer)[:n]...)
 		if len(pending) > maxEventBytes {
 			return errors.WithStack(&EventTooLargeError{})
 		}
+		if cap(pending) > maxUncountedBytes {
+			if e := source.Hold(cap(pending)); e != nil {
+				return errors.WithStack(e)
+			}
+		}
 		if found := bytes.LastIndex(pending[searched:], eventEnd); found >= 0 {
 			lastEnd := searched + found
 			x.gateway.state.recordFirstChunk(a)
@@ -164,10 +203,13 @@
 				x.recordProgress(len(events))
 			}
 			x.gateway.countResponseBytes(len(events))
-			if _, e := x.writer.Write(events); e != nil {
-				return e
-			}
-			if e := control.Flush(); e != nil {
+			e := source.Write(func() error {
+				if _, e := x.writer.Write(events); e != nil {
+					return e
+				}
+				return control.Flush()
+			})
+			if e != nil {
 				return e
 			}
 			pending = append(pending[:0], pending[lastEnd+len(eventEnd):]...)
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -129,6 +129,8 @@
 	}
 	conn.Close()
 	switch {
+	case x.isCut(err):
+		return endpoints.Inconclusive, finish, responsesFull
 	case x.request.Context().Err() != nil:
 		return endpoints.Inconclusive, finish, clientDisconnected
 	case ctx.Err() != nil:
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -159,7 +159,7 @@
 // head returns the encoded request line and the headers.
 func (r Request) head() []byte {
 	var b strings.Builder
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Write returns only errors of its writer, and a strings.Builder returns none.
 	_ = r.Header.Write(&b)
