--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -39,6 +39,7 @@
 	addresses    []string        // to which earlier attempts were sent
 	unreachable  int             // attempts that did not reach their endpoint
 	attemptsSent int             // attempts that had a connection
+	linkBytes    int             // counted for the link by awaitLink, and not sent yet
 	runs         notrun.Record   // attempts that an endpoint may have run
 	progress     progress        // of the response of the current attempt
 	relayed      relayed
@@ -78,14 +79,17 @@
 // has stopped reading must not hold the request for good.
 const maxWriteTime = 5 * time.Second
 
-// limitWrites limits the time for writing the response, and returns a function
-// that removes the limit for the next request on the connection.
+// limitWrites limits the time for writing the response, and ends a write at once when the
+// client leaves. It returns a function that removes the limit for the next request on the
+// connection.
 func (x *exchange) limitWrites() func() {
 	control := http.NewResponseController(x.writer)
 	if err := control.SetWriteDeadline(x.deadline.Add(maxWriteTime)); err != nil {
 		x.gateway.log.V(1).Info("no write deadline", "id", x.info.ID, "error", err.Error())
 	}
+	stop := context.AfterFunc(x.request.Context(), x.interruptWrites)
 	return func() {
+		stop()
 		// It fails only on a closed connection.
 		_ = control.SetWriteDeadline(time.Time{})
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"hawthornspar/io/certificate"
 	"hawthornspar/io/http1"
 	"hawthornspar/io/metrics"
+	"hawthornspar/io/relaybuffer"
 )
 
 // defaultVMCount is the number of VMs assumed until the list of VMs is known.
@@ -66,6 +67,7 @@
 	figures              budgetFigures
 	reloaded             atomic.Pointer[Reloadable]
 	bufferedBytes        atomic.Int64 // bytes of request bodies in memory
+	responses            *relaybuffer.Memory
 	trafficBytes         atomic.Int64 // bytes of requests and responses so far
 	requests             atomic.Int64 // client requests since the last sample
 	congestion           congestion
@@ -96,7 +98,8 @@
 		log: logr.Discard(), metrics: m, crashesRecorded: make(chan struct{}, 1), started: time.Now(),
 	}
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
-	g.uplink.backlog.Capacity = s.LinkBytesPerSecond
+	g.uplink.queue.Capacity = s.LinkBytesPerSecond
+	g.responses = relaybuffer.NewMemory(maxResponsesBytes(s.MemoryBytes))
 	g.reloaded.Store(reloadable(s))
 	for _, o := range options {
 		o(g)
@@ -111,6 +114,12 @@
 	if err := g.registerGauges(); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterGauge("link_queue_ms", func() int64 { return g.uplink.length().Milliseconds() }); err != nil {
+		return err
+	}
+	if err := g.metrics.RegisterGauge("response_buffer_bytes", g.responses.Used); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
