--- a/core/home/home.go
+++ b/core/home/home.go
@@ -30,6 +30,9 @@
 	Address     string  `json:"address"` // IP:port for other VMs
 	StoreMs     int64   `json:"storeMs"` // lower bound of the store's clock at the registration
 	Rate        float64 `json:"rate"`    // client requests per second
+	Domain      string  `json:"domain"`  // failure domain; empty if unknown
+	// LinkBytesPerSecond is the speed of the VM's link; 0 if unknown.
+	LinkBytesPerSecond int64 `json:"link"`
 }
 
 // Alive returns the VMs that are alive by their registrations. Their ages are
