--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # generate needs protoc (Debian package protobuf-compiler). Its output is committed.
 generate: tools
-	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=hawthornspar io/wire/wire.proto
+	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=hawthornspar io/wire/wire.proto io/loadexchange/wire/loadexchange.proto
 	$(BIN)/go-jsonschema --only-models --tags json --disable-omitempty --disable-omitzero -p wire -o platform/wire/wire.go platform/wire/wire.schema.json
 
 # bench measures real processes. experiment compares policies in virtual time.
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -94,6 +94,7 @@
 	own := home.VM{
 		Name: s.Name, Incarnation: s.Incarnation, Address: s.PeerListen,
 		StoreMs: m.storeMs + time.Since(m.readAt).Milliseconds(), Rate: m.gateway.state.ownRequestRate(),
+		Domain: s.FailureDomain, LinkBytesPerSecond: int64(s.LinkBytesPerSecond),
 	}
 	if err := m.gateway.store.Register(ctx, own); err != nil {
 		return err
