core/endpoints: choice by the load of all VMs and by cost in units of aims

Cause: a VM chooses by its own requests only, so short prompts wait behind long ones of others. Change: with a collector's summary, the wait, the request's own reading, slots and the base time are predicted from the load of all VMs, and the cost of a placement includes the delay of requests with shorter aims. Endpoints without room in memory are left out.

--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -26,6 +26,9 @@
 	Service      string
 	PrefixBlocks []PrefixBlock // of the prompt, in order
 	PromptTokens int64
+	Target       time.Duration // the route's aim for the time to the first chunk; 0 if it has none
+	HeldTokens   int64         // prompt and most output tokens, which the endpoint's memory holds
+	MemoryTokens int64         // tokens that fit into the memory of one of the service's endpoints; 0 if unknown
 }
 
 // sharedBlocks returns the prefix blocks that other requests may share: all but
@@ -56,6 +59,10 @@
 	}
 	a := c.endpoint.startAttempt(r, c.isPreferred, now)
 	a.Notices = c.notices
+	a.Cost = c.cost
+	if len(attempted) == 0 {
+		c.endpoint.profile.arrivals.add(r.Target, now)
+	}
 	return a
 }
 
@@ -63,12 +70,18 @@
 type choice struct {
 	endpoint    *Endpoint // nil for none
 	isPreferred bool      // whether it is the preferred endpoint of the request's prefix
+	cost        Cost      // zero if the load of other VMs was not known
 	notices     Notices
 }
 
 // choose implements Choose.
 func (t *Table) choose(r Request, attempted map[string]bool, domain string, random Random, now time.Time) choice {
 	candidates, notices := t.eligible(r.Service, attempted, now)
+	if t.fleet.known(now) {
+		c := t.chooseByCost(r, candidates, domain, random, now)
+		c.notices = notices
+		return c
+	}
 	var best *Endpoint
 	bestCost := 0.0
 	preferred := preferredEndpoint(r, candidates)
@@ -79,7 +92,7 @@
 			best, bestCost = e, cost
 		}
 	}
-	return choice{best, best != nil && best == preferred, notices}
+	return choice{endpoint: best, isPreferred: best != nil && best == preferred, notices: notices}
 }
 
 // eligible returns the endpoints of a service that accept new requests and are
--- a/core/endpoints/endpoint.go
+++ b/core/endpoints/endpoint.go
@@ -3,7 +3,11 @@
 // puts on it. From these it chooses an endpoint for each request.
 package endpoints
 
-import "time"
+import (
+	"time"
+
+	"hawthornspar/core/endpointload"
+)
 
 // Registration is an endpoint's row in the registry. VMs exchange registrations
 // as JSON under these field names.
@@ -29,11 +33,17 @@
 type Endpoint struct {
 	Registration
 	model               *model               // of the endpoint's service
+	profile             *profile             // of the endpoint's service
+	fleet               *fleetView           // of the table
+	others              endpointload.Load    // what other VMs have in flight
+	speed               float64              // relative to the service's usual, which is 1
 	running             int                  // this VM's requests that have not ended
 	prefillTokens       int64                // prompt tokens of this VM's requests that have no first chunk yet
+	heldTokens          int64                // prompt and most output tokens of this VM's requests that have not ended
 	consecutiveFailures int                  // since the last attempt that ended as Succeeded
 	failureRate         decayingAverage      // share of this VM's requests that failed
 	firstChunkMs        decayingAverage      // time to first chunk
+	unexplainedMs       decayingAverage      // time to first chunk beyond what the load explains
 	avoidUntil          time.Time            // not chosen before, unless too few endpoints remain
 	expiresAt           time.Time            // accepts no new requests from this time on; zero while registered
 	leavingSince        time.Time            // when the endpoint said that it is leaving; zero if it has not
--- a/core/endpoints/health.go
+++ b/core/endpoints/health.go
@@ -50,12 +50,30 @@
 // endpoint's estimate. meanMs is the mean time to first chunk over the service's
 // endpoints.
 func (e *Endpoint) healthPenaltyMs(meanMs float64, now time.Time) float64 {
-	excessFailureRate := max(e.failureRate.decayed(now)-toleratedFailureRate, 0) / (1 - toleratedFailureRate)
 	slowMs := 0.0
 	if meanMs > 0 {
 		slowMs = max(e.firstChunkMs.decayed(now)-toleratedSlowdown*meanMs, 0)
 	}
-	return maxFailurePenaltyMs*excessFailureRate + min(slowMs, maxSlowPenaltyMs)
+	return e.failurePenaltyMs(now) + min(slowMs, maxSlowPenaltyMs)
+}
+
+// failurePenaltyMs returns the milliseconds that failures add to the endpoint's
+// estimate.
+func (e *Endpoint) failurePenaltyMs(now time.Time) float64 {
+	return maxFailurePenaltyMs * max(e.failureRate.decayed(now)-toleratedFailureRate, 0) / (1 - toleratedFailureRate)
+}
+
+// recordUnexplained records by how much a first chunk took longer than an
+// endpoint is allowed to, by its predicted time.
+func (e *Endpoint) recordUnexplained(predictedMs, ms float64, now time.Time) {
+	e.unexplainedMs.add(max(ms-toleratedSlowdown*predictedMs, 0), now)
+}
+
+// unexplainedPenaltyMs returns the milliseconds that slowness adds to the
+// endpoint's estimate while the load of all VMs is known. The time to first
+// chunk alone is no sign of a fault then: it is long behind a long prompt.
+func (e *Endpoint) unexplainedPenaltyMs(now time.Time) float64 {
+	return min(e.unexplainedMs.decayed(now), maxSlowPenaltyMs)
 }
 
 // meanFirstChunkMs returns the mean time to first chunk, in milliseconds, over
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -40,6 +40,14 @@
 	PrefillTokens   int64 // prompt tokens that the endpoint is expected to prefill
 	RegistryVersion int64 // version of the registry by which the endpoint was chosen
 	Notices         Notices
+	Estimate        Estimate // of the time to the first chunk, by its parts
+	PredictedMs     float64  // the estimate's total
+	ActualMs        float64  // time to the first chunk; 0 until it came
+	Cost            Cost     // by which the endpoint was chosen; zero if the load of other VMs was not known
+	heldTokens      int64
+	fleetKnown      bool    // whether the load of other VMs was known at the start
+	tokensAhead     float64 // of all VMs, the request's own included
+	speed           float64 // of the endpoint at the start
 	startedAt       time.Time
 	prefillEnded    bool
 	ended           bool
@@ -54,8 +62,10 @@
 // the preferred one of the request's prefix.
 func (e *Endpoint) startAttempt(r Request, preferred bool, now time.Time) *Attempt {
 	tokens := r.PromptTokens - e.cachedTokens(r, preferred, now)
-	a := &Attempt{Endpoint: e, RunningBefore: e.running, PrefillTokens: tokens, startedAt: now}
+	a := &Attempt{Endpoint: e, RunningBefore: e.running, PrefillTokens: tokens, heldTokens: r.HeldTokens, startedAt: now}
+	a.predict(r, preferred, now)
 	e.running++
+	e.heldTokens += r.HeldTokens
 	e.prefillTokens += tokens
 	if len(e.blockLastUsed) > maxPrefixBlocks {
 		e.blockLastUsed = map[string]time.Time{}
@@ -76,6 +86,7 @@
 	ms := float64(now.Sub(a.startedAt).Milliseconds())
 	a.Endpoint.firstChunkMs.add(ms, now)
 	a.Endpoint.model.observe(float64(a.PrefillTokens), ms)
+	a.learn(now)
 }
 
 // endPrefill removes the prompt from the endpoint's load, whether it was
@@ -99,9 +110,11 @@
 	a.endPrefill()
 	e := a.Endpoint
 	e.running--
+	e.heldTokens -= a.heldTokens
 	switch o {
 	case Succeeded:
 		e.failureRate.add(0, now)
+		a.learnDuration(now)
 		e.consecutiveFailures = 0
 		e.avoidUntil = time.Time{}
 	case ServerError:
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -11,12 +11,17 @@
 type Table struct {
 	byID      map[string]*Endpoint
 	byService map[string][]*Endpoint
-	models    map[string]*model // by service; kept while the service has no endpoints
+	models    map[string]*model   // by service; kept while the service has no endpoints
+	profiles  map[string]*profile // by service, as models
+	fleet     *fleetView
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{}}
+	return &Table{
+		byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, models: map[string]*model{},
+		profiles: map[string]*profile{}, fleet: &fleetView{share: 1},
+	}
 }
 
 // Change is the effect of a registration on the table.
@@ -65,8 +70,12 @@
 func (t *Table) add(r Registration) {
 	if t.models[r.Service] == nil {
 		t.models[r.Service] = newModel()
+		t.profiles[r.Service] = newProfile()
+	}
+	e := &Endpoint{
+		Registration: r, model: t.models[r.Service], profile: t.profiles[r.Service], fleet: t.fleet, speed: 1,
+		blockLastUsed: map[string]time.Time{},
 	}
-	e := &Endpoint{Registration: r, model: t.models[r.Service], blockLastUsed: map[string]time.Time{}}
 	t.byID[r.ID] = e
 	t.byService[r.Service] = append(t.byService[r.Service], e)
 }
