--- a/io/loadexchange/exchange.go
+++ b/io/loadexchange/exchange.go
@@ -68,8 +68,9 @@
 	t := e.vm.Transport()
 	to := e.collector(t)
 	e.lastAt = now.at
-	e.sequence++
 	e.noteAsked(to)
+	e.retract(to, t)
+	e.sequence++
 	if to.link == nil {
 		if !to.self {
 			e.metrics.Increment("load_exchanges", "noCollector")
--- a/io/loadexchange/exchanger.go
+++ b/io/loadexchange/exchanger.go
@@ -92,6 +92,7 @@
 	pace     time.Duration    // least time between exchanges, by their size
 	reported bool             // the last report had load
 	view     moment           // of the last exchange that succeeded; zero for none
+	previous target           // of the last exchange
 	asked    string           // name of the VM that was asked last, to log changes
 }
 
@@ -238,8 +239,7 @@
 	to := e.collector(t)
 	due := e.active && !e.closed && to.link != nil
 	e.closed = true
-	e.sequence++
-	r := endpointload.Report{VM: e.name, Domain: e.domain, Sequence: e.sequence}
+	r := e.emptyReport()
 	e.mu.Unlock()
 	if !due {
 		return
