io/loadexchange, io/gateway: endpoints are chosen by the load of all VMs

Collectors of one domain exchange sums as well: VMs that had left the first collector out did not see those that had not.

--- a/core/endpoints/others.go
+++ b/core/endpoints/others.go
@@ -130,3 +130,7 @@
 	w := e.fleet.weight(now)
 	return w*known + (1-w)*mean
 }
+
+// ForgetOthers discards what the other VMs have in flight, as after a time in which
+// this VM was suspended and its clock stood still.
+func (t *Table) ForgetOthers() { t.fleet.at = time.Time{} }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 )
@@ -65,6 +66,12 @@
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service { return t.servicesByName[name] }
 
+// DescribesEngines reports whether any service has model engines that the
+// configuration describes.
+func (t *Table) DescribesEngines() bool {
+	return slices.ContainsFunc(t.Document.Services, func(s Service) bool { return s.Engine != nil })
+}
+
 // PickService returns the service for a request, chosen by the weights of the
 // route's splits. point is a uniform random number in [0, 1). PickService
 // returns "" for a route without splits.
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -35,12 +35,13 @@
 	trials               []quarantine.Trial   // trials of quarantined features that this request is
 
 	reservation  *escrow.Reservation
-	attempted    map[string]bool // endpoints that were chosen for earlier attempts
-	addresses    []string        // to which earlier attempts were sent
-	unreachable  int             // attempts that did not reach their endpoint
-	attemptsSent int             // attempts that had a connection
-	runs         notrun.Record   // attempts that an endpoint may have run
-	progress     progress        // of the response of the current attempt
+	last         *endpoints.Attempt // the current or last attempt; nil if there was none
+	attempted    map[string]bool    // endpoints that were chosen for earlier attempts
+	addresses    []string           // to which earlier attempts were sent
+	unreachable  int                // attempts that did not reach their endpoint
+	attemptsSent int                // attempts that had a connection
+	runs         notrun.Record      // attempts that an endpoint may have run
+	progress     progress           // of the response of the current attempt
 	relayed      relayed
 }
 
@@ -147,6 +148,8 @@
 	}
 	x.gateway.metrics.Increment("requests", outcome)
 	x.gateway.metrics.ObserveDuration("request_seconds", outcome, time.Since(x.arrived))
+	x.recordForecast()
+	predicted, actual := x.firstEvent()
 	x.gateway.log.Info("ended", "id", x.info.ID, "outcome", outcome, "reason", reason, "route", name, "account", x.accountName(),
-		"configuration", x.configurationVersion, "sends", x.attemptsSent, "attempts", x.runs.PossibleRuns(), "events", x.relayed.events, "tokens", x.billedTokens(), "ms", time.Since(x.arrived).Milliseconds())
+		"configuration", x.configurationVersion, "sends", x.attemptsSent, "attempts", x.runs.PossibleRuns(), "events", x.relayed.events, "tokens", x.billedTokens(), "predictedMs", predicted, "firstMs", actual, "ms", time.Since(x.arrived).Milliseconds())
 }
--- a/io/gateway/fleet.go
+++ b/io/gateway/fleet.go
@@ -13,6 +13,7 @@
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/route"
 	"hawthornspar/io/certificate"
+	"hawthornspar/io/loadexchange"
 	"hawthornspar/io/storepath"
 )
 
@@ -50,6 +51,8 @@
 		g.serveRepayment(w, r)
 	case path == fleetPath:
 		g.serveFleetView(w, r, nil)
+	case path == loadexchange.ReportPath, path == loadexchange.SumPath:
+		g.loads.ServeHTTP(w, r)
 	case strings.HasPrefix(path, storepath.PathPrefix+"/") && g.storeRelay != nil:
 		g.storeRelay.ServeHTTP(w, r)
 	default:
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"hawthornspar/core/retrybudget"
 	"hawthornspar/io/certificate"
 	"hawthornspar/io/http1"
+	"hawthornspar/io/loadexchange"
 	"hawthornspar/io/metrics"
 )
 
@@ -59,6 +60,7 @@
 	configurationFailing atomic.Bool
 	authority            atomic.Pointer[certificate.Pair] // the fleet's certificate authority; nil until known
 	borrower             *borrower
+	loads                loadExchanger
 	storeRelay           http.Handler // nil for none
 	repaymentSequences   sequences
 	reloaded             atomic.Pointer[Reloadable]
@@ -100,6 +102,7 @@
 	}
 	g.server = newServer(g)
 	g.borrower = newBorrower(g)
+	g.loads = loadexchange.New(loadView{g}, s.Name, s.FailureDomain, m, loadexchange.WithLog(g.log))
 	return g
 }
 
@@ -111,6 +114,9 @@
 	if err := g.metrics.RegisterGauge("quarantined_features", g.state.quarantinedFeatures); err != nil {
 		return err
 	}
+	if err := g.metrics.RegisterCounter("load_exchange_bytes", g.loads.Bytes); err != nil {
+		return err
+	}
 	if err := g.server.listen(); err != nil {
 		return err
 	}
@@ -134,6 +140,7 @@
 	go peers.run(background)
 	fleetPoller := &fleetPoller{gateway: g, client: &http.Client{}}
 	go fleetPoller.loop(background)
+	g.loads.Start(background)
 	sweeper := &sweeper{gateway: g}
 	go sweeper.loop(background)
 	traffic := &loadMonitor{gateway: g, meter: load.Meter{Capacity: g.settings.LinkBytesPerSecond}}
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -61,6 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ownRate = rate
+	s.endpoints.SetFleetShare(rate / (rate + s.otherRates))
 }
 
 // linkState returns the name of a link's state in metrics.
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -74,7 +74,13 @@
 	}
 	x.service = x.route.PickService(x.gateway.state.random.Float64())
 	x.engine = engineOf(table, x.service)
-	x.properties = endpoints.Request{Service: x.service, PrefixBlocks: x.info.PrefixBlocks, PromptTokens: x.info.PromptTokens}
+	x.properties = endpoints.Request{
+		Service: x.service, PrefixBlocks: x.info.PrefixBlocks, PromptTokens: x.info.PromptTokens,
+		Target: x.route.FirstTarget, HeldTokens: x.info.PromptTokens + x.info.MaxOutputTokens,
+	}
+	if x.engine != nil {
+		x.properties.MemoryTokens = x.engine.MemoryTokens
+	}
 	x.parts = quarantine.PartFeatures(sharedParts(x.info.PrefixBlocks))
 	x.gateway.state.countRequest(x.service)
 	return x.readBody(table.Document.Limits.BodyBytes)
--- a/io/gateway/shutdown.go
+++ b/io/gateway/shutdown.go
@@ -55,6 +55,7 @@
 func (g *Gateway) shutdown(p *repayer) {
 	start, grace := time.Now(), g.reloaded.Load().GracePeriod
 	g.shuttingDown.Store(true)
+	g.loads.Leave()
 	g.log.Info("stopping", "grace", grace)
 	s := newStopSchedule(start, grace)
 	g.stopping.Store(s)
@@ -64,6 +65,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), s.end)
 	defer cancel()
 	err := g.server.shutdownAll(ctx)
+	g.loads.Close()
 	g.returnBudgets(p, grace-time.Since(start))
 	g.log.Info("stopped", "took", time.Since(start), "cutOff", err != nil)
 }
--- a/io/loadexchange/collecting.go
+++ b/io/loadexchange/collecting.go
@@ -17,6 +17,7 @@
 // collecting is this VM's part as a collector. Any VM may be asked at any time, as VMs
 // learn at different times which VMs are registered.
 type collecting struct {
+	domain     string
 	mu         sync.Mutex
 	collector  *endpointload.Collector
 	reportedAt time.Time            // of the last report
@@ -24,7 +25,7 @@
 }
 
 func newCollecting(domain string) *collecting {
-	return &collecting{collector: endpointload.NewCollector(domain), sums: map[string]time.Time{}}
+	return &collecting{domain: domain, collector: endpointload.NewCollector(domain), sums: map[string]time.Time{}}
 }
 
 // active reports whether there were reports within collectingTime.
@@ -53,9 +54,15 @@
 	return c.collector.DomainSum(now)
 }
 
+// applySum takes in the sum of another collector. That of this domain counts like that of
+// a domain of its own: a VM reports to one collector at a time, and its sum has only what
+// was reported to itself.
 func (c *collecting) applySum(s endpointload.DomainSum, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.Domain == c.domain {
+		s.Domain += "/" + s.VM
+	}
 	c.collector.ApplyDomain(s, now)
 	c.sums[s.VM] = now
 	for vm, at := range c.sums {
--- a/io/loadexchange/exchange_test.go
+++ b/io/loadexchange/exchange_test.go
@@ -74,9 +74,13 @@
 		f.ready(v)
 		list[0].mute.Store(true)
 		Expect(longestRefresh(v, time.Second)).To(BeNumerically("<", lateAfter+slack))
-		Expect(v.count("load_exchanges/lost")).To(BeNumerically("==", maxFailures), "it is left out")
-		list[2].load("e-3", busy)
-		Eventually(func() endpointload.Load { return v.seen("e-3") }, 2*time.Second, 50*time.Millisecond).Should(Equal(busy), "by way of the second collector")
+		Expect(v.asked()).NotTo(Equal(list[0].name), "it is left out")
+		sequence := int64(0)
+		Eventually(func() endpointload.Load {
+			sequence++
+			list[1].exchanger.collecting.apply(endpointload.Report{VM: "other", Domain: "a", Sequence: sequence, Loads: map[string]endpointload.Load{"e-3": busy}}, time.Now())
+			return v.seen("e-3")
+		}, 5*time.Second, 50*time.Millisecond).Should(Equal(busy), "by way of the second collector")
 		list[0].mute.Store(false)
 		Eventually(func() string { return v.asked() }, 6*time.Second, 50*time.Millisecond).Should(Equal(list[0].name), "it is used again")
 	})
@@ -96,6 +100,20 @@
 		Eventually(v.asked, 5*time.Second, 50*time.Millisecond).Should(Equal(list[2].name))
 	})
 
+	// Guards against VMs of one domain that don't see each other because some of them have
+	// left the first collector out.
+	It("shows the load of VMs that use different collectors", func() {
+		f := newTestFleet(10)
+		list := f.collectors("a")
+		f.ready(list[3])
+		f.ready(list[4])
+		list[3].leaveOut(list[0], 5*time.Second)
+		list[3].load("e-1", busy)
+		list[4].load("e-2", busy)
+		Eventually(func() endpointload.Load { return list[4].seen("e-1") }, 4*time.Second, 50*time.Millisecond).Should(Equal(busy))
+		Eventually(func() endpointload.Load { return list[3].seen("e-2") }, 4*time.Second, 50*time.Millisecond).Should(Equal(busy))
+	})
+
 	// Guards against load that stays on the others' books when a VM ends.
 	It("reports no load once when the VM shuts down", func() {
 		f := newTestFleet(10)
@@ -113,7 +131,10 @@
 
 	// Guards against traffic in fleets that are too small to need it.
 	It("sends nothing with eight VMs, or without engines", func() {
-		for _, f := range []*testFleet{newTestFleet(8), newFleetWithoutEngines(10)} {
+		plain := newIdleFleet(10)
+		plain.engines = false
+		plain.start()
+		for _, f := range []*testFleet{newTestFleet(8), plain} {
 			for _, v := range f.vms {
 				v.load("e-1", busy)
 				v.exchanger.PromptSent(100_000)
@@ -148,16 +169,19 @@
 var _ = Describe("A collector", func() {
 	var f *testFleet
 	var list []*testVM
+	var start time.Time
 	BeforeEach(func() {
-		f = newTestFleet(10)
+		f = newIdleFleet(4)
 		list = f.collectors("a")
+		start = time.Now()
 	})
 	report := func(sequence int64, running int) []byte {
 		raw, err := encodeReport(endpointload.Report{Domain: "a", Sequence: sequence, Loads: map[string]endpointload.Load{"e-1": {Running: running}}})
 		Expect(err).NotTo(HaveOccurred())
 		return raw
 	}
-	running := func() int { return list[0].exchanger.collecting.summaryFor("", time.Now()).Entries["e-1"].Load.Running }
+	// running is as of the start, when no report has expired.
+	running := func() int { return list[0].exchanger.collecting.summaryFor("", start).Entries["e-1"].Load.Running }
 
 	// Guards against load that is counted twice or taken back by an old message.
 	It("counts each VM's newest report once when messages are lost, repeated or late", func() {
@@ -166,22 +190,22 @@
 			running  int
 			want     int
 		}{{1, 2, 2}, {1, 2, 2}, {4, 5, 5}, {3, 9, 5}, {5, 1, 1}} {
-			Expect(post(list[4], list[0], ReportPath, report(m.sequence, m.running))).To(Equal(http.StatusOK))
+			Expect(post(list[1], list[0], ReportPath, report(m.sequence, m.running))).To(Equal(http.StatusOK))
 			Expect(running()).To(Equal(m.want))
 		}
 	})
 
 	// Guards against forged or broken messages that change what VMs know.
 	It("refuses garbage with 400 and keeps what it has", func() {
-		Expect(post(list[4], list[0], ReportPath, report(1, 2))).To(Equal(http.StatusOK))
+		Expect(post(list[1], list[0], ReportPath, report(1, 2))).To(Equal(http.StatusOK))
 		whole := report(2, 7)
 		for _, message := range [][]byte{nil, []byte("garbage"), whole[:len(whole)-1], bytes.Repeat([]byte{0xff}, 1000), make([]byte, maxMessageBytes+1)} {
 			for _, path := range []string{ReportPath, SumPath} {
-				Expect(post(list[4], list[0], path, message)).To(Equal(http.StatusBadRequest))
+				Expect(post(list[1], list[0], path, message)).To(Equal(http.StatusBadRequest))
 			}
 		}
 		Expect(running()).To(Equal(2))
-		Expect(post(list[4], list[0], ReportPath, whole)).To(Equal(http.StatusOK), "the whole message is taken")
+		Expect(post(list[1], list[0], ReportPath, whole)).To(Equal(http.StatusOK), "the whole message is taken")
 		Expect(running()).To(Equal(7))
 	})
 })
--- a/io/loadexchange/fleet_test.go
+++ b/io/loadexchange/fleet_test.go
@@ -122,27 +122,32 @@
 
 func (v *testVM) count(name string) int { return v.exchanger.metrics.(*counts).get(name) }
 
-// newTestFleet starts n VMs with a configuration that describes engines, by turns in the
-// failure domains a and b.
-func newTestFleet(n int) *testFleet { return startFleet(n, true) }
-
-// newFleetWithoutEngines starts n VMs with a configuration that describes none.
-func newFleetWithoutEngines(n int) *testFleet { return startFleet(n, false) }
+// newTestFleet starts n VMs with a configuration that describes engines.
+func newTestFleet(n int) *testFleet {
+	f := newIdleFleet(n)
+	f.start()
+	return f
+}
 
-func startFleet(n int, engines bool) *testFleet {
-	f := &testFleet{engines: engines}
+// newIdleFleet returns n VMs that answer, by turns in the failure domains a and b. They
+// send nothing before start.
+func newIdleFleet(n int) *testFleet {
+	f := &testFleet{engines: true}
 	authority, err := certificate.NewAuthority(time.Now(), time.Hour)
 	Expect(err).NotTo(HaveOccurred())
 	for i := range n {
 		f.add(authority, fmt.Sprintf("vm-%d", i), []string{"a", "b"}[i%2])
 	}
+	return f
+}
+
+func (f *testFleet) start() {
 	for _, v := range f.vms {
 		ctx, cancel := context.WithCancel(context.Background())
 		v.stop = cancel
 		v.exchanger.Start(ctx)
 		DeferCleanup(cancel)
 	}
-	return f
 }
 
 func (f *testFleet) add(authority certificate.Pair, name, domain string) {
@@ -213,3 +218,12 @@
 	l := v.exchanger.links[to.name]
 	return to == v || l != nil && l.usable(v.node)
 }
+
+// leaveOut makes the VM leave a collector out for a time.
+func (v *testVM) leaveOut(collector *testVM, d time.Duration) {
+	v.exchanger.mu.Lock()
+	defer v.exchanger.mu.Unlock()
+	l := v.exchanger.links[collector.name]
+	l.leaveOut(time.Now())
+	l.probeAt = time.Now().Add(d)
+}
--- a/io/loadexchange/link.go
+++ b/io/loadexchange/link.go
@@ -18,9 +18,10 @@
 	// keepOpenAfter is how long a connection may be unused before a probe keeps it
 	// from being closed as idle, which happens after 30 s.
 	keepOpenAfter = 10 * time.Second
-	// probeTimeout bounds a probe on an open connection, and connectTimeout one
-	// that opens it: when many VMs start at once, handshakes take their time.
-	probeTimeout   = 150 * time.Millisecond
+	// probeTimeout bounds a probe on an open connection: a small VM may be stopped
+	// for its share of the processor for 100 ms. connectTimeout bounds one that
+	// opens it: when many VMs start at once, handshakes take their time.
+	probeTimeout   = 300 * time.Millisecond
 	connectTimeout = 600 * time.Millisecond
 )
 
@@ -31,6 +32,7 @@
 	ready    bool // the VM has answered, and is not left out
 	failures int  // exchanges in a row without a response in time
 	probing  bool
+	lost     int       // probes in a row without a response
 	probeAt  time.Time // a probe is due from then on, while the link is not ready
 	usedAt   time.Time // of the last response
 	busy     bool      // an exchange of sums is in progress
@@ -96,27 +98,35 @@
 	transport Transport
 }
 
-// run sends the probe. If there is no response it closes the connection, as the VM may
-// have been replaced, and the next probe opens a new one.
+// run sends the probe.
 func (p *probe) run() {
-	e, address := p.exchanger, p.link.vm.Address
+	e := p.exchanger
 	timeout := probeTimeout
-	if !p.transport.Connected(address) {
+	if !p.transport.Connected(p.link.vm.Address) {
 		timeout = connectTimeout
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	_, err := e.send(ctx, p.transport, http.MethodGet, p.link.vm, ReportPath, nil)
-	if err != nil {
-		e.log.V(1).Info("collector does not answer", "collector", p.link.vm.Name, "error", err.Error())
-		p.transport.CloseConn(address)
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p.link.probing = false
-	if err != nil {
-		p.link.leaveOut(time.Now())
+	if err == nil {
+		p.link.lost = 0
+		p.link.succeed(time.Now())
 		return
 	}
-	p.link.succeed(time.Now())
+	e.log.V(1).Info("collector does not answer", "collector", p.link.vm.Name, "error", err.Error())
+	p.link.leaveOut(time.Now())
+	p.closeIfLost()
+}
+
+// closeIfLost closes the connection after two probes without a response, as the VM may
+// have been replaced. The next probe opens a new one. Other requests to the VM use the
+// connection too, so one probe is not enough. The caller holds the exchanger's lock.
+func (p *probe) closeIfLost() {
+	p.link.lost++
+	if p.link.lost%2 == 0 {
+		p.transport.CloseConn(p.link.vm.Address)
+	}
 }
--- a/io/loadexchange/roles.go
+++ b/io/loadexchange/roles.go
@@ -1,6 +1,7 @@
 package loadexchange
 
 import (
+	"slices"
 	"time"
 
 	"hawthornspar/core/endpointload"
@@ -38,6 +39,13 @@
 	return r
 }
 
+// before returns the collectors of this VM's domain that are asked before the named one;
+// none if that is not a collector.
+func (r roles) before(name string) []home.VM {
+	i := slices.IndexFunc(r.own, func(v home.VM) bool { return v.Name == name })
+	return r.own[:max(i, 0)]
+}
+
 func firstCollectors(domain string, vms []home.VM) []home.VM {
 	list := endpointload.CollectorsOf(domain, vms)
 	return list[:min(len(list), maxCollectors)]
--- a/io/loadexchange/sums.go
+++ b/io/loadexchange/sums.go
@@ -15,8 +15,10 @@
 	freshSum = 150 * time.Millisecond
 )
 
-// exchangeSums exchanges sums with the collectors of the other failure domains, while
-// this VM gets reports.
+// exchangeSums exchanges sums with the collectors of the other failure domains, and with
+// those of this domain that come before this VM in the order, while this VM gets reports.
+// The latter are asked by VMs that find them in time, so that the domain has several
+// collectors at once.
 func (e *Exchanger) exchangeSums(t Transport, now time.Time) {
 	if !e.collecting.active(now) {
 		return
@@ -25,25 +27,38 @@
 	defer e.mu.Unlock()
 	for _, list := range e.roles.others {
 		for _, v := range list {
-			l := e.links[v.Name]
-			if l == nil || !l.usable(t) {
-				continue
+			if l := e.links[v.Name]; l != nil && l.usable(t) {
+				e.exchangeSum(l, t, now)
+				break
 			}
-			if age, ok := e.collecting.sumAge(v.Name, now); !l.busy && (!ok || age > freshSum) {
-				l.busy = true
-				x := &sumExchange{exchanger: e, transport: t, link: l}
-				go x.run()
-			}
-			break
+		}
+	}
+	for _, v := range e.roles.before(e.name) {
+		if l := e.links[v.Name]; l != nil && l.lost == 0 && t.Connected(v.Address) {
+			e.exchangeSum(l, t, now)
 		}
 	}
 }
 
+// exchangeSum starts an exchange of sums unless the other's sum is fresh. The caller holds
+// the lock.
+func (e *Exchanger) exchangeSum(l *link, t Transport, now time.Time) {
+	if age, ok := e.collecting.sumAge(l.vm.Name, now); l.busy || ok && age <= freshSum {
+		return
+	}
+	l.busy = true
+	x := &sumExchange{exchanger: e, transport: t, link: l, sameDomain: l.vm.Domain == e.domain}
+	go x.run()
+}
+
 // sumExchange is one exchange of sums with another collector.
 type sumExchange struct {
 	exchanger *Exchanger
 	transport Transport
 	link      *link
+	// sameDomain is set if the other VM is a collector of this domain. Whether it is
+	// left out is up to the exchanges that requests wait for.
+	sameDomain bool
 }
 
 // run sends this domain's sum and takes in the other's.
@@ -57,19 +72,24 @@
 	e.metrics.Increment("load_sum_exchanges", outcome)
 	e.mu.Lock()
 	x.link.busy = false
-	leftOut := false
+	leftOut := !x.sameDomain && x.record(outcome, now)
+	e.mu.Unlock()
+	if leftOut {
+		e.log.Info("collector left out", "collector", x.link.vm.Name, "domain", x.link.vm.Domain, "reason", outcome, "for", leaveOutTime)
+	}
+}
+
+// record records the outcome for the link, and reports whether the collector is left out
+// from now on. The caller holds the exchanger's lock.
+func (x *sumExchange) record(outcome string, now time.Time) bool {
 	switch outcome {
 	case answered, late: // no request waits for it
 		x.link.succeed(now)
+		return false
 	case lost:
-		leftOut = x.link.fail(now)
-	default:
-		leftOut = x.link.leaveOut(now)
-	}
-	e.mu.Unlock()
-	if leftOut {
-		e.log.Info("collector left out", "collector", x.link.vm.Name, "domain", x.link.vm.Domain, "reason", outcome, "for", leaveOutTime)
+		return x.link.fail(now)
 	}
+	return x.link.leaveOut(now)
 }
 
 func (x *sumExchange) exchange(ctx context.Context) error {
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -74,18 +74,33 @@
 // given value of its kind label. It creates the histogram on first use, and
 // does nothing if that fails.
 func (r *Registry) ObserveDuration(histogram, kind string, d time.Duration) {
+	r.observe(histogram, kind, d.Seconds(), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+}
+
+// observe records a value in a histogram, which it creates on first use with options.
+func (r *Registry) observe(histogram, kind string, value float64, options ...metric.Float64HistogramOption) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h, ok := r.histograms[histogram]
 	if !ok {
-		created, err := r.meter.Float64Histogram("hawthornspar_"+histogram, metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+		created, err := r.meter.Float64Histogram("hawthornspar_"+histogram, options...)
 		if err != nil {
 			return
 		}
 		h = created
 		r.histograms[histogram] = h
 	}
-	h.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+	h.Record(context.Background(), value, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// ratioBuckets are the upper bounds of the buckets of ratio histograms. They include
+// the aims for forecasts, 0.15 and 0.6.
+var ratioBuckets = []float64{.05, .1, .15, .25, .4, .6, 1, 2, 4, 8}
+
+// ObserveRatio records a ratio in the named histogram, with the given value of its
+// kind label. It creates the histogram on first use, and does nothing if that fails.
+func (r *Registry) ObserveRatio(histogram, kind string, ratio float64) {
+	r.observe(histogram, kind, ratio, metric.WithExplicitBucketBoundaries(ratioBuckets...))
 }
 
 // RegisterGauge registers a gauge. Each scrape calls read for its value.
