--- a/io/loadexchange/exchange.go
+++ b/io/loadexchange/exchange.go
@@ -16,9 +16,6 @@
 	// exchangeTimeout is the time after which an exchange is given up. A late
 	// response is still used.
 	exchangeTimeout = 60 * time.Millisecond
-	// maxPace bounds the time between exchanges by their size, so that what is
-	// known stays useful.
-	maxPace = 500 * time.Millisecond
 )
 
 // exchange is one exchange with the collector.
@@ -49,7 +46,7 @@
 		e.mu.Unlock()
 		return x
 	}
-	if age > 0 && now.at.Sub(e.lastAt) < max(age, e.pace) {
+	if age > 0 && (now.at.Sub(e.lastAt) < age || !e.allowance.available(now.at)) {
 		e.mu.Unlock()
 		return nil
 	}
@@ -172,7 +169,7 @@
 		e.view = x.started
 	}
 	if err == nil {
-		e.pace = min(time.Duration(responseBytes+overheadBytes)*time.Second/bytesPerSecond, maxPace)
+		e.allowance.spend(responseBytes+overheadBytes, end.at)
 	}
 	e.running = nil
 	again := e.again
--- a/io/loadexchange/exchanger.go
+++ b/io/loadexchange/exchanger.go
@@ -34,9 +34,6 @@
 	// connectSpread spreads the first connections to collectors, as all VMs may
 	// start at once.
 	connectSpread = 3 * time.Second
-	// bytesPerSecond is the control traffic of a VM, which sets the pace of its
-	// exchanges when the fleet has many endpoints with load.
-	bytesPerSecond = 4_000
 )
 
 // VM is the VM that an Exchanger runs in. Its methods don't wait for the network.
@@ -79,21 +76,21 @@
 	collecting *collecting
 	bytes      atomic.Int64 // sent and received, as an estimate
 
-	mu       sync.Mutex
-	active   bool // exchanges are made
-	leaving  bool // this VM is no collector any more
-	closed   bool // the last report has been made
-	roles    roles
-	links    map[string]*link // by VM name
-	sequence int64            // of the last report
-	running  *exchange        // nil for none
-	again    bool             // another exchange follows the running one
-	lastAt   time.Time        // start of the last exchange
-	pace     time.Duration    // least time between exchanges, by their size
-	reported bool             // the last report had load
-	view     moment           // of the last exchange that succeeded; zero for none
-	previous target           // of the last exchange
-	asked    string           // name of the VM that was asked last, to log changes
+	mu        sync.Mutex
+	active    bool // exchanges are made
+	leaving   bool // this VM is no collector any more
+	closed    bool // the last report has been made
+	roles     roles
+	links     map[string]*link // by VM name
+	sequence  int64            // of the last report
+	running   *exchange        // nil for none
+	again     bool             // another exchange follows the running one
+	lastAt    time.Time        // start of the last exchange
+	allowance allowance        // of exchanges on demand
+	reported  bool             // the last report had load
+	view      moment           // of the last exchange that succeeded; zero for none
+	previous  target           // of the last exchange
+	asked     string           // name of the VM that was asked last, to log changes
 }
 
 // Option configures an Exchanger.
--- a/io/loadexchange/send.go
+++ b/io/loadexchange/send.go
@@ -20,7 +20,7 @@
 
 // overheadBytes is an estimate of the bytes of one exchange besides the messages:
 // the heads of request and response, acknowledgements and the headers of packets.
-const overheadBytes = 350
+const overheadBytes = 400
 
 // Transport sends requests to other VMs.
 type Transport interface {
