--- a/core/endpointload/speed.go
+++ b/core/endpointload/speed.go
@@ -16,11 +16,11 @@
 	minWeight = 8.0
 	// firstStep bounds the change by one of the first observations, and lastStep
 	// by a later one, in units of the logarithm of the speed. An outlier thus
-	// changes a learnt speed by at most 5%.
+	// changes a learnt speed by at most 2%.
 	firstStep = 0.5
-	lastStep  = 0.05
+	lastStep  = 0.02
 	// gain is the part of an observation's difference that changes the speed.
-	gain = 0.15
+	gain = 0.05
 	// maxWeight bounds the weight of a sample, so that the domains' samples count
 	// alike.
 	maxWeight = 50.0
--- a/core/endpoints/model.go
+++ b/core/endpoints/model.go
@@ -44,13 +44,21 @@
 }
 
 // observe adds one response.
-func (m *model) observe(tokens, ms float64) {
-	m.n *= modelDecay
-	m.x *= modelDecay
-	m.y *= modelDecay
-	m.xx *= modelDecay
-	m.xy *= modelDecay
-	m.add(tokens, ms, 1)
+func (m *model) observe(tokens, ms float64) { m.observeWeighted(tokens, ms, 1) }
+
+// observeWeighted adds one response that counts as much as its weight.
+func (m *model) observeWeighted(tokens, ms, weight float64) {
+	m.scale(modelDecay)
+	m.add(tokens, ms, weight)
+}
+
+// scale multiplies the weight of all that was added.
+func (m *model) scale(factor float64) {
+	m.n *= factor
+	m.x *= factor
+	m.y *= factor
+	m.xx *= factor
+	m.xy *= factor
 }
 
 // tokensPerMs returns the estimated prefill rate.
--- a/core/endpoints/others.go
+++ b/core/endpoints/others.go
@@ -14,6 +14,9 @@
 	// othersTTL is the age from which it is not used, and endpoints are chosen by
 	// this VM's own load.
 	othersTTL = time.Second
+	// reportAge is by how much the reports in a summary are older than the
+	// summary. The endpoint goes on reading meanwhile.
+	reportAge = 50 * time.Millisecond
 	// maxObservations bounds the observations that wait to be reported.
 	maxObservations = 64
 )
@@ -59,9 +62,8 @@
 			e.speed = 1
 		}
 	}
-	for name, list := range t.byService {
+	for _, list := range t.byService {
 		normalizeSpeeds(list)
-		t.profiles[name].setOthers(list)
 	}
 }
 
@@ -114,19 +116,14 @@
 
 // runningRequests returns the expected number of requests at the endpoint.
 func (e *Endpoint) runningRequests(now time.Time) float64 {
-	return float64(e.running) + e.expected(float64(e.others.Running), e.profile.othersRunning, now)
+	return float64(e.running) + e.fleet.weight(now)*float64(e.others.Running)
 }
 
 // tokensAhead returns the expected number of prompt tokens that a new request
 // waits for.
 func (e *Endpoint) tokensAhead(now time.Time) float64 {
-	return float64(e.prefillTokens) + e.expected(float64(e.others.PrefillTokens), e.profile.othersPrefill, now)
-}
-
-// expected returns what others are expected to have at the endpoint: what they
-// had, and the mean over the service's endpoints in place of the weight that
-// this has lost.
-func (e *Endpoint) expected(known, mean float64, now time.Time) float64 {
-	w := e.fleet.weight(now)
-	return w*known + (1-w)*mean
+	readMs := milliseconds(e.fleet.age(now) + reportAge)
+	read := readMs * e.profile.model.tokensPerMs() * e.speed
+	others := e.fleet.weight(now)*float64(e.others.PrefillTokens) - read
+	return float64(e.prefillTokens) + max(others, 0)
 }
--- a/core/endpoints/profile.go
+++ b/core/endpoints/profile.go
@@ -11,6 +11,18 @@
 	// minResponses is the number of responses from which a service's model is
 	// good enough to tell the speed of endpoints by it.
 	minResponses = 20
+	// profileAssumptions is the weight of a model's assumptions in a profile. It
+	// is small, as a quiet VM would need minutes to outweigh them.
+	profileAssumptions = 0.2
+	// usualError is the relative error of a prediction at which a response counts
+	// half. Most large errors come from prompts that other VMs have just sent,
+	// and tell nothing of the service.
+	usualError = 0.2
+	// referenceMs is the predicted time at which a response counts as one.
+	// Longer ones count less, as their errors are larger in proportion.
+	referenceMs = 50.0
+	// maxSizeWeight bounds the weight of short responses.
+	maxSizeWeight = 4.0
 )
 
 // profile is what a table has learnt of one service while the load of other VMs
@@ -18,34 +30,29 @@
 type profile struct {
 	// model is fitted over all tokens ahead at the usual speed, the request's own
 	// included.
-	model         *model
-	responses     int     // that the model has learnt from
-	durationMs    float64 // of a request at an endpoint
-	othersRunning float64 // requests of other VMs, mean over the service's endpoints
-	othersPrefill float64 // prompt tokens of other VMs, mean over the service's endpoints
-	arrivals      arrivals
+	model      *model
+	responses  int     // that the model has learnt from
+	durationMs float64 // of a request at an endpoint
+	arrivals   arrivals
 }
 
-func newProfile() *profile { return &profile{model: newModel(), durationMs: assumedDurationMs} }
-
-// setOthers updates the means over the endpoints of the service.
-func (p *profile) setOthers(list []*Endpoint) {
-	running, prefill := 0.0, 0.0
-	for _, e := range list {
-		running += float64(e.others.Running)
-		prefill += float64(e.others.PrefillTokens)
-	}
-	n := float64(max(len(list), 1))
-	p.othersRunning, p.othersPrefill = running/n, prefill/n
+func newProfile() *profile {
+	m := newModel()
+	m.scale(profileAssumptions)
+	return &profile{model: m, durationMs: assumedDurationMs}
 }
 
-// observeFirstChunk learns from the first chunk of a response.
-func (p *profile) observeFirstChunk(tokensAhead, ms float64) {
-	p.model.observe(tokensAhead, ms)
+// observeFirstChunk learns from the first chunk of a response. tokens are those
+// ahead, at the usual speed.
+func (p *profile) observeFirstChunk(tokens, ms float64) {
+	predictedMs := p.model.baseMs() + tokens/p.model.tokensPerMs()
+	size := referenceMs / predictedMs
+	excess := (ms/predictedMs - 1) / usualError
+	p.model.observeWeighted(tokens, ms, min(size*size, maxSizeWeight)/(1+excess*excess))
 	p.responses++
 }
 
 // observeEnd learns from the duration of a request.
 func (p *profile) observeEnd(d time.Duration) {
-	p.durationMs += durationWeight * (float64(d.Milliseconds()) - p.durationMs)
+	p.durationMs += durationWeight * (milliseconds(d) - p.durationMs)
 }
