--- a/core/endpointload/collector.go
+++ b/core/endpointload/collector.go
@@ -1,6 +1,9 @@
 package endpointload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// reportTTL is how long a report or a domain's sum counts. VMs with requests
@@ -13,7 +16,7 @@
 	// each.
 	maxEntries = 32_768
 	// maxVMs and maxSums bound the VMs and the collectors that are known.
-	maxVMs  = 2048
+	maxVMs  = 1024
 	maxSums = 64
 	// maxObservations bounds the observations that are taken from one report.
 	maxObservations = 64
@@ -27,8 +30,8 @@
 	reports  map[string]received // by VM
 	entries  int                 // of all reports
 	total    map[string]Load     // sum of reports, by endpoint id
-	sums     map[sumKey]receivedSum
-	speeds   map[string]*speed // by endpoint id, from own reports
+	sums     []receivedSum       // the latest of each other collector
+	speeds   map[string]*speed   // by endpoint id, from own reports
 }
 
 // received is the latest report of a VM.
@@ -38,9 +41,6 @@
 	loads    map[string]Load
 }
 
-// sumKey identifies a collector.
-type sumKey struct{ domain, vm string }
-
 // receivedSum is the latest sum of another collector.
 type receivedSum struct {
 	sum DomainSum
@@ -51,7 +51,7 @@
 func NewCollector(domain string) *Collector {
 	return &Collector{
 		domain: domain, reports: map[string]received{}, total: map[string]Load{},
-		sums: map[sumKey]receivedSum{}, speeds: map[string]*speed{},
+		speeds: map[string]*speed{},
 	}
 }
 
@@ -110,11 +110,7 @@
 			c.remove(vm)
 		}
 	}
-	for key, s := range c.sums {
-		if now.Sub(s.at) > reportTTL {
-			delete(c.sums, key)
-		}
-	}
+	c.sums = slices.DeleteFunc(c.sums, func(s receivedSum) bool { return now.Sub(s.at) > reportTTL })
 }
 
 // observe learns the speeds of endpoints.
@@ -211,14 +207,18 @@
 // of this domain.
 func (c *Collector) ApplyDomain(s DomainSum, now time.Time) {
 	c.expire(now)
-	key := sumKey{s.Domain, s.VM}
-	last, known := c.sums[key]
-	if s.Domain == c.domain || known && s.Sequence <= last.sum.Sequence || !known && len(c.sums) >= maxSums {
+	i := slices.IndexFunc(c.sums, func(o receivedSum) bool { return o.sum.Domain == s.Domain && o.sum.VM == s.VM })
+	known := i >= 0
+	if s.Domain == c.domain || known && s.Sequence <= c.sums[i].sum.Sequence || !known && len(c.sums) >= maxSums {
 		return
 	}
 	s.Loads = clippedLoads(s.Loads, maxEndpoints)
 	s.Speeds = clippedSamples(s.Speeds)
-	c.sums[key] = receivedSum{s, now}
+	if !known {
+		c.sums = append(c.sums, receivedSum{s, now})
+		return
+	}
+	c.sums[i] = receivedSum{s, now}
 }
 
 // clippedSamples returns at most maxEndpoints of the samples that have weight.
