--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -33,17 +33,18 @@
 	Accounts    map[string]Allocation `json:"accounts"`
 }
 
-// Allocation is a VM's part of one account's budget.
+// Allocation is a VM's part of one account's budget. Fields that are 0 are left out
+// of the row, which makes up for most of the size of OfflineLimit.
 type Allocation struct {
-	Granted       int64 `json:"granted"`   // tokens drawn or borrowed, less those returned
-	Spent         int64 `json:"spent"`     // tokens used by completed requests
-	Lent          int64 `json:"lent"`      // tokens lent to other VMs, less those repaid
-	Committed     int64 `json:"committed"` // spent, lent, and reserved by running requests
-	Burst         int64 `json:"burst"`     // tokens that may be committed on top of Committed immediately
-	DeferredBurst int64 `json:"later"`     // tokens that may be committed in addition after burstOnlyPeriod
-	SlowPerSecond int64 `json:"perSecond"` // tokens that become available per second after burstOnlyPeriod
-	FastPerSecond int64 `json:"fast"`      // replaces SlowPerSecond after fastRateAfter
-	TokenRate     int64 `json:"rate"`      // tokens that requests reserve per second
+	Granted       int64 `json:"granted"`             // tokens drawn or borrowed, less those returned
+	Spent         int64 `json:"spent,omitempty"`     // tokens used by completed requests
+	Lent          int64 `json:"lent,omitempty"`      // tokens lent to other VMs, less those repaid
+	Committed     int64 `json:"committed,omitempty"` // spent, lent, and reserved by running requests
+	Burst         int64 `json:"burst,omitempty"`     // tokens that may be committed on top of Committed immediately
+	DeferredBurst int64 `json:"later,omitempty"`     // tokens that may be committed in addition after burstOnlyPeriod
+	SlowPerSecond int64 `json:"perSecond,omitempty"` // tokens that become available per second after burstOnlyPeriod
+	FastPerSecond int64 `json:"fast,omitempty"`      // replaces SlowPerSecond after fastRateAfter
+	TokenRate     int64 `json:"rate,omitempty"`      // tokens that requests reserve per second
 	// OfflineLimit is the most tokens that may be committed on top of Committed,
 	// however long the VM does not write its row; 0 for no such limit.
 	OfflineLimit int64 `json:"offline,omitempty"`
