--- a/core/escrow/crowded_vm_test.go
+++ b/core/escrow/crowded_vm_test.go
@@ -36,6 +36,8 @@
 	inFlight *Transaction // sent, its response has not arrived
 	nextSend time.Time
 	nextRead time.Time
+	started  time.Time
+	cutOff   bool // from the store
 }
 
 // waitingRequest waits for tokens.
@@ -50,6 +52,7 @@
 // borrowerVM is a VM that is no home VM, with its requests of one account.
 type borrowerVM struct {
 	name     string
+	account  string
 	budgets  *Budgets
 	rate     float64 // requests per second
 	due      float64 // requests that are due to arrive
@@ -57,10 +60,13 @@
 	running  []runningRequest
 	lenders  Rotation  // of the home VMs
 	respond  time.Time // when the response to the loan request arrives; zero for none in flight
+	lender   *Budgets  // of the loan request that waits
 	lendWait int64     // tokens that the loan request waits for at the home VM; 0 when it does not wait
 	nextHome time.Time // of the next repayment
 	served   int
 	refused  int
+	tooEarly int       // refused with more than almostSpentShare of the account unspent
+	upAt     time.Time // when it is up again after a loss of power
 }
 
 // crowdedFleet simulates eight home VMs and some borrowers of one account in a
@@ -69,11 +75,12 @@
 	store     *store
 	start     time.Time
 	now       time.Time
-	account   string
 	prepaid   map[string]int64
 	homes     []*homeVM
 	borrowers []*borrowerVM
 	storeOut  bool
+	used      map[string]int64 // tokens used by requests, by account
+	starts    int
 }
 
 // otherAccounts is the number of the other accounts in the group.
@@ -83,29 +90,42 @@
 func otherAccount(i int) string { return fmt.Sprintf("other%d", i) }
 
 func newCrowdedFleet(prepaid int64, rates ...float64) *crowdedFleet {
+	accounts := map[string]int64{"large": prepaid}
+	for i := range otherAccounts {
+		accounts[otherAccount(i)] = 2_000_000
+	}
+	f := newFleetOf(accounts)
+	for _, rate := range rates {
+		f.addBorrower("large", rate)
+	}
+	return f
+}
+
+// newFleetOf returns the home VMs of accounts with the given budgets.
+func newFleetOf(prepaid map[string]int64) *crowdedFleet {
 	f := &crowdedFleet{
 		store: &store{totals: map[string]VersionedTotal{}, allocations: map[string]VersionedAllocations{}},
-		start: time.Unix(1_000, 0), now: time.Unix(1_000, 0), account: "large", prepaid: map[string]int64{"large": prepaid},
-	}
-	for i := range otherAccounts {
-		f.prepaid[otherAccount(i)] = 2_000_000
+		start: time.Unix(1_000, 0), now: time.Unix(1_000, 0), prepaid: prepaid, used: map[string]int64{},
 	}
 	for i := range home.HomesPerGroup {
-		h := &homeVM{name: fmt.Sprintf("home%d", i), nextSend: f.now.Add(time.Duration(i) * 7 * time.Millisecond)}
+		h := &homeVM{name: fmt.Sprintf("home%d", i), nextSend: f.now.Add(time.Duration(i) * 7 * time.Millisecond), started: f.now}
 		h.budgets = f.newBudgets(h.name, true)
 		f.homes = append(f.homes, h)
 	}
-	for i, rate := range rates {
-		name := fmt.Sprintf("borrower%d", i)
-		b := &borrowerVM{name: name, rate: rate, budgets: f.newBudgets(name, false), lenders: Rotation{next: i}}
-		b.budgets.TakeOver(VMAllocations{}, 0, 0)
-		f.borrowers = append(f.borrowers, b)
-	}
 	return f
 }
 
+// addBorrower adds a VM that is no home VM, with requests of one account.
+func (f *crowdedFleet) addBorrower(account string, rate float64) {
+	b := &borrowerVM{name: fmt.Sprintf("borrower%d", len(f.borrowers)), account: account, rate: rate, lenders: Rotation{next: len(f.borrowers)}}
+	b.budgets = f.newBudgets(b.name, false)
+	b.budgets.TakeOver(VMAllocations{}, 0, 0)
+	f.borrowers = append(f.borrowers, b)
+}
+
 func (f *crowdedFleet) newBudgets(name string, isHome bool) *Budgets {
-	b := New(name, name+"-1", name+":1", Policy{ReportInterval: 500 * time.Millisecond})
+	f.starts++
+	b := New(name, fmt.Sprintf("%s-%d", name, f.starts), name+":1", Policy{ReportInterval: 500 * time.Millisecond})
 	b.SetHomes(home.HomesPerGroup, isHome)
 	for account, prepaid := range f.prepaid {
 		b.Configure(account, prepaid, true)
@@ -134,7 +154,7 @@
 	if h.budgets.Ready() {
 		f.spendOthers(h)
 	}
-	if f.storeOut {
+	if f.storeOut || h.cutOff {
 		return
 	}
 	if !f.now.Before(h.nextRead) {
@@ -142,7 +162,8 @@
 		h.budgets.SetStoreClock(f.store.nowMs, f.now)
 		h.budgets.SetSnapshot(f.store.snapshot())
 		if !h.budgets.Ready() {
-			h.budgets.TakeOver(VMAllocations{}, 0, 0)
+			own := f.store.allocations[h.name]
+			h.budgets.TakeOver(copyOf(own.VMAllocations), own.Version, f.store.nowMs-f.now.Sub(h.started).Milliseconds())
 		}
 	}
 	if f.now.Before(h.nextSend) {
@@ -170,6 +191,9 @@
 // spendOthers spends tokens of the other accounts at the home VMs whose turn it
 // is, so that the shares of the home VMs shift.
 func (f *crowdedFleet) spendOthers(h *homeVM) {
+	if len(f.prepaid) != otherAccounts+1 {
+		return
+	}
 	turn := int(f.now.Sub(f.start) / rateShiftPeriod)
 	for i := range otherAccounts {
 		if f.homes[(turn+3*i)%len(f.homes)] != h {
@@ -184,11 +208,15 @@
 // serve simulates a borrower for one step: requests arrive, wait, run and end,
 // one loan request at a time is in flight, and tokens are repaid.
 func (f *crowdedFleet) serve(b *borrowerVM, index int) {
+	if f.now.Before(b.upAt) {
+		return
+	}
 	b.running = slices.DeleteFunc(b.running, func(r runningRequest) bool {
 		if f.now.Before(r.endsAt) {
 			return false
 		}
 		b.budgets.Settle(r.reservation, requestTokensUsed)
+		f.used[b.account] += requestTokensUsed
 		return true
 	})
 	if f.now.Sub(f.start) > simulatedWarmUp {
@@ -196,13 +224,13 @@
 	}
 	for ; b.due >= 1; b.due-- {
 		b.waiting = append(b.waiting, waitingRequest{giveUpAt: f.now.Add(maxWaitForTokens)})
-		b.budgets.AddWaiting(f.account, requestTokens)
+		b.budgets.AddWaiting(b.account, requestTokens)
 	}
 	f.borrow(b)
 	f.reserve(b)
 	if f.now.After(b.nextHome) {
 		b.nextHome = f.now.Add(simulatedRepay)
-		f.homes[index%len(f.homes)].budgets.AddRepayment(f.account, b.budgets.Repay(f.account, f.now))
+		f.homes[index%len(f.homes)].budgets.AddRepayment(b.account, b.budgets.Repay(b.account, f.now))
 	}
 }
 
@@ -210,17 +238,20 @@
 // waited for too long.
 func (f *crowdedFleet) reserve(b *borrowerVM) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w waitingRequest) bool {
-		r, ok := b.budgets.Reserve(f.account, requestTokens, f.now)
+		r, ok := b.budgets.Reserve(b.account, requestTokens, f.now)
 		switch {
 		case ok:
 			b.served++
 			b.running = append(b.running, runningRequest{r, f.now.Add(requestTime)})
 		case f.now.After(w.giveUpAt):
 			b.refused++
+			if float64(f.prepaid[b.account]-f.used[b.account]) > almostSpentShare*float64(f.prepaid[b.account]) {
+				b.tooEarly++
+			}
 		default:
 			return false
 		}
-		b.budgets.RemoveWaiting(f.account, requestTokens)
+		b.budgets.RemoveWaiting(b.account, requestTokens)
 		return true
 	})
 }
@@ -235,19 +266,25 @@
 		b.respond = f.now.Add(peerRoundTrip)
 		return
 	}
-	lender := f.homes[b.lenders.Next(len(f.homes))].budgets
-	need, want := b.budgets.WaitingShortfall(f.account, requestTokens, f.now)
-	lent := lender.LendAsHome(f.account, need, want, f.now)
-	if need > 0 && lent == 0 && b.lendWait == 0 && !f.storeOut {
-		b.lendWait = need
-		lender.AddWaiting(f.account, need)
+	h := f.homes[b.lenders.Next(len(f.homes))]
+	lender := h.budgets
+	if b.lendWait > 0 {
+		lender = b.lender
+	}
+	need, want := b.budgets.WaitingShortfall(b.account, requestTokens, f.now)
+	lent := lender.LendAsHome(b.account, need, want, f.now)
+	if need > 0 && lent == 0 && b.lendWait == 0 && !f.storeOut && !h.cutOff && lender.Obtainable(b.account, need, f.now) {
+		b.lendWait, b.lender = need, lender
+		lender.AddWaiting(b.account, need)
 		b.respond = f.now.Add(homeLendWait)
 		return
 	}
-	lender.RemoveWaiting(f.account, b.lendWait)
+	if b.lendWait > 0 {
+		lender.RemoveWaiting(b.account, b.lendWait)
+	}
 	b.lendWait = 0
 	b.respond = time.Time{}
-	b.budgets.AddLoan(f.account, lent)
+	b.budgets.AddLoan(b.account, lent)
 	b.lenders.Record(lent, want)
 }
 
@@ -261,6 +298,10 @@
 	return float64(refused) / float64(served+refused)
 }
 
+// almostSpentShare is the unspent share of an account below which its requests
+// may be refused.
+const almostSpentShare = 0.03
+
 // maxRefusedShare is the share of requests that may be refused for a lack of
 // tokens while their account has plenty.
 const maxRefusedShare = 0.01
