--- a/io/logline/trace/trace.go
+++ b/io/logline/trace/trace.go
@@ -81,6 +81,8 @@
 	{"budget drawn", "account"},
 	{"budget borrowed", "account"},
 	{"budget lent", "account"},
+	{"budget moved", "from"},
+	{"budget figures", "account"},
 	{"dependency lost", "dependency"},
 	{"dependency regained", "dependency"},
 	{"VMs counted", ""},
