--- a/core/escrow/held_by_borrowers_test.go
+++ b/core/escrow/held_by_borrowers_test.go
@@ -38,7 +38,7 @@
 			held += f.freeAtBorrowers() / samples
 		}
 		perSecond := rate * float64(len(rates)) * requestTokensUsed
-		Expect(float64(held)/perSecond).To(BeNumerically("<", maxHeldTime.Seconds()))
+		Expect(float64(held) / perSecond).To(BeNumerically("<", maxHeldTime.Seconds()))
 		Expect(f.refusedShare()).To(BeNumerically("<", maxRefusedShare))
 	})
 })
