--- a/core/escrow/budgets.go
+++ b/core/escrow/budgets.go
@@ -34,8 +34,12 @@
 	// becomes available at once after burstOnlyPeriod.
 	deferredBurstTime = time.Second
 	// offlineShare is the share of a VM's free tokens that it may spend before it
-	// writes its row again, however long that takes. Home VMs may move the rest.
+	// writes its row again, however long that takes, and offlineTime the time for
+	// which it may go on at its token rate if that is more. Home VMs may move the
+	// rest. The time covers an outage of the store of ten seconds at one and a half
+	// times the usual demand.
 	offlineShare = 0.3
+	offlineTime  = 15 * time.Second
 	// slowRateFactor and fastRateFactor are the multiples of the measured token
 	// rate at which a VM may spend after burstOnlyPeriod and fastRateAfter. The
 	// fast rate is at least the one that uses up the free tokens in
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -168,7 +168,7 @@
 	burst := int64(burstShare*float64(unspent)*a.weight(homeVMs)) + a.waiting
 	fast := max(fastRateFactor*a.tokenRate, float64(free)/fastDrainTime.Seconds())
 	burst = min(burst, free)
-	offline := min(max(int64(offlineShare*float64(free)), burst), free)
+	offline := min(max(int64(offlineShare*float64(free)), int64(a.tokenRate*offlineTime.Seconds()), burst), free)
 	return Allocation{
 		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, TokenRate: int64(a.tokenRate),
 		Burst: burst, OfflineLimit: offline, DeferredBurst: int64(a.tokenRate * deferredBurstTime.Seconds()), SlowPerSecond: int64(slowRateFactor * a.tokenRate), FastPerSecond: int64(fast),
