--- a/core/endpoints/candidates.go
+++ b/core/endpoints/candidates.go
@@ -1,6 +1,9 @@
 package endpoints
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // VMs that act on the same knowledge would all choose the same endpoint. Each
 // therefore compares a random subset, also by a fresh summary, as the sums of
@@ -12,7 +15,7 @@
 	// which falls with it, would be zero.
 	candidateAge = 500 * time.Millisecond
 	// domainPart is the part of the candidates from the VM's own failure domain.
-	domainPart = 0.25
+	domainPart = 0.5
 )
 
 // candidateCount returns how many endpoints are compared by knowledge of an age:
@@ -23,8 +26,8 @@
 }
 
 // sample returns n random endpoints of a list, among them a part from the VM's
-// own failure domain and the preferred one. It reorders the list.
-func sample(list []*Endpoint, n int, preferred *Endpoint, domain string, random Random) []*Endpoint {
+// own failure domain, and the required ones that are not nil. It reorders the list.
+func sample(list []*Endpoint, n int, domain string, random Random, required ...*Endpoint) []*Endpoint {
 	if n >= len(list) {
 		return list
 	}
@@ -39,14 +42,11 @@
 	pick(list[:near], 0, fromDomain, random)
 	pick(list, fromDomain, n, random)
 	chosen := list[:n:n]
-	for _, e := range chosen {
-		if e == preferred {
-			return chosen
+	for _, e := range required {
+		if e != nil && !slices.Contains(chosen, e) {
+			chosen = append(chosen, e)
 		}
 	}
-	if preferred != nil {
-		chosen = append(chosen, preferred)
-	}
 	return chosen
 }
 
--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -40,6 +40,15 @@
 	return r.PrefixBlocks[:len(r.PrefixBlocks)-1]
 }
 
+// sharedTokens returns the tokens of the prefix blocks that other requests may share.
+func (r Request) sharedTokens() int64 {
+	var tokens int64
+	for _, b := range r.sharedBlocks() {
+		tokens += b.Tokens
+	}
+	return tokens
+}
+
 // Random returns uniform numbers in [0, 1).
 type Random interface{ Float64() float64 }
 
@@ -129,20 +138,30 @@
 // prefix to the same endpoint. It returns nil for a prompt without a shared
 // prefix.
 func preferredEndpoint(r Request, candidates []*Endpoint) *Endpoint {
+	preferred, _ := preferredEndpoints(r, candidates)
+	return preferred
+}
+
+// preferredEndpoints returns the preferred endpoint of a prompt and the alternate one,
+// which is next by the same hashing; nil where there is none.
+func preferredEndpoints(r Request, candidates []*Endpoint) (preferred, alternate *Endpoint) {
 	sharedBlocks := r.sharedBlocks()
 	if len(sharedBlocks) == 0 {
-		return nil
+		return nil, nil
 	}
 	lastID := sharedBlocks[len(sharedBlocks)-1].ID
-	var preferred *Endpoint
-	var maxWeight uint64
+	var first, second uint64
 	for _, e := range candidates {
 		weight := xxhash.Sum64String(lastID + "/" + e.ID)
-		if preferred == nil || weight > maxWeight {
-			preferred, maxWeight = e, weight
+		switch {
+		case preferred == nil || weight > first:
+			alternate, second = preferred, first
+			preferred, first = e, weight
+		case alternate == nil || weight > second:
+			alternate, second = e, weight
 		}
 	}
-	return preferred
+	return preferred, alternate
 }
 
 // estimateMs returns the estimated time until the first chunk of the request's
--- a/core/endpoints/cost.go
+++ b/core/endpoints/cost.go
@@ -14,11 +14,12 @@
 // Cost is the cost of placing a request on an endpoint, in units of aims.
 type Cost struct {
 	Own    float64 // of the request's own time to the first chunk
+	Work   float64 // of the endpoint's time for reading the prompt, which all requests share
 	Others float64 // of the delay of requests with shorter aims
 }
 
 // Total returns the sum of the parts.
-func (c Cost) Total() float64 { return c.Own + c.Others }
+func (c Cost) Total() float64 { return c.Own + c.Work + c.Others }
 
 // aim returns the request's aim.
 func (r Request) aim() time.Duration {
--- a/core/endpoints/estimate.go
+++ b/core/endpoints/estimate.go
@@ -38,3 +38,8 @@
 	}
 	return (ahead + 1) * e.profile.durationMs / float64(e.Slots)
 }
+
+// readMs returns the time in which the endpoint reads prompt tokens, in milliseconds.
+func (e *Endpoint) readMs(tokens int64) float64 {
+	return float64(tokens) / (e.profile.model.tokensPerMs() * e.speed)
+}
