--- a/io/loadexchange/fleet_test.go
+++ b/io/loadexchange/fleet_test.go
@@ -44,25 +44,12 @@
 	engines bool
 }
 
-// counts counts metrics by name and reason.
-type counts struct {
-	mu sync.Mutex
-	n  map[string]int
-}
+// noMetrics discards metrics.
+type noMetrics struct{}
 
-func (c *counts) Increment(counter, reason string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.n[counter+"/"+reason]++
-}
+func (noMetrics) Increment(string, string) {}
 
-func (c *counts) ObserveDuration(string, string, time.Duration) {}
-
-func (c *counts) get(name string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.n[name]
-}
+func (noMetrics) ObserveDuration(string, string, time.Duration) {}
 
 // endpointIDs are the endpoints that all VMs know.
 var endpointIDs = []string{"e-1", "e-2", "e-3"}
@@ -120,8 +107,6 @@
 	return v.exchanger.asked
 }
 
-func (v *testVM) count(name string) int { return v.exchanger.metrics.(*counts).get(name) }
-
 // newTestFleet starts n VMs with a configuration that describes engines.
 func newTestFleet(n int) *testFleet {
 	f := newIdleFleet(n)
@@ -156,7 +141,7 @@
 	tlsConfig, err := certificate.MutualTLS(authority.Certificate, own)
 	Expect(err).NotTo(HaveOccurred())
 	v := &testVM{name: name, fleet: f, loads: map[string]endpointload.Load{}}
-	v.exchanger = New(v, name, domain, &counts{n: map[string]int{}}, WithConnectSpread(50*time.Millisecond))
+	v.exchanger = New(v, name, domain, noMetrics{}, WithConnectSpread(50*time.Millisecond))
 	address := freeAddress()
 	v.node, err = peer.Listen(entity.VM{Name: name}, address, tlsConfig, v, func(inbox.Event) {}, logr.Discard(), peer.WithIdleTimeout(30*time.Second))
 	Expect(err).NotTo(HaveOccurred())
