core/endpoints: others' requests are expected to end by their duration

Cause: a call of 60 ms has ended before a summary that counts it is used, so all VMs would follow the same stale counts. Change: others' requests in a summary shrink by the learnt duration and the number of slots.

--- a/core/endpoints/others.go
+++ b/core/endpoints/others.go
@@ -116,7 +116,21 @@
 
 // runningRequests returns the expected number of requests at the endpoint.
 func (e *Endpoint) runningRequests(now time.Time) float64 {
-	return float64(e.running) + e.fleet.weight(now)*float64(e.others.Running)
+	ageMs := milliseconds(e.fleet.age(now) + reportAge)
+	others := remainingRequests(float64(e.others.Running), float64(e.Slots), ageMs, e.profile.durationMs)
+	return float64(e.running) + e.fleet.weight(now)*others
+}
+
+// remainingRequests returns how many of n requests have not ended after a time.
+// Those that wait for a slot start as others end. Without this, all VMs would
+// follow counts of requests that ended long ago.
+func remainingRequests(n, slots, ageMs, durationMs float64) float64 {
+	if slots > 0 && n > slots {
+		started := min(n-slots, ageMs*slots/durationMs)
+		n -= started
+		ageMs -= started * durationMs / slots
+	}
+	return n * math.Exp(-ageMs/durationMs)
 }
 
 // tokensAhead returns the expected number of prompt tokens that a new request
--- a/core/endpoints/profile.go
+++ b/core/endpoints/profile.go
@@ -54,5 +54,5 @@
 
 // observeEnd learns from the duration of a request.
 func (p *profile) observeEnd(d time.Duration) {
-	p.durationMs += durationWeight * (milliseconds(d) - p.durationMs)
+	p.durationMs = max(p.durationMs+durationWeight*(milliseconds(d)-p.durationMs), 1)
 }
