--- a/core/escrow/move.go
+++ b/core/escrow/move.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -82,22 +83,35 @@
 }
 
 // chooseMoves returns the tokens to move for the waiting requests of an account
-// that has the given number of free tokens. Tokens of recent rows are moved only
-// as far as they are needed, and only when at least one request then has enough:
-// each move makes the next write of the row's VM fail. chosen are the rows from
-// which the transaction moves tokens already.
+// that has the given number of free tokens. Each move makes the next write of the
+// row's VM fail, so tokens are moved from recent rows alone only when at least one
+// request then has enough. chosen are the transaction's moves so far.
 func (b *Budgets) chooseMoves(name string, a *account, free int64, chosen []Move, now time.Time) []movableTokens {
-	want := a.waiting - free
-	if want <= 0 || !b.isHome || b.closing {
+	short := a.waiting - free
+	if short <= 0 || !b.isHome || b.closing {
 		return nil
 	}
-	smallest := a.smallestWaiting() - free
-	want += int64(a.tokenRate * moveAheadTime.Seconds())
-	var moves []movableTokens
-	moved, anyStale := int64(0), false
+	ahead := int64(a.tokenRate * moveAheadTime.Seconds())
+	moves := takeMovable(b.movableFrom(name, now), short+ahead, chosen)
+	total, anyStale := int64(0), false
+	for _, m := range moves {
+		total += m.tokens
+		anyStale = anyStale || m.stale
+	}
+	if !anyStale && total < a.smallestWaiting()-free {
+		return nil
+	}
+	return moves
+}
+
+// takeMovable takes the wanted number of tokens from the first rows of a list: all
+// movable tokens of stale rows, and only what is still missing from recent ones.
+// With the rows of the moves in chosen, they are at most movesPerTransaction.
+func takeMovable(list []movableTokens, want int64, chosen []Move) []movableTokens {
+	var taken []movableTokens
 	rows := len(chosen)
-	for _, m := range b.movableFrom(name, now) {
-		if moved >= want {
+	for _, m := range list {
+		if want <= 0 {
 			break
 		}
 		if !slices.ContainsFunc(chosen, func(c Move) bool { return c.VM == m.vm }) {
@@ -107,16 +121,12 @@
 			rows++
 		}
 		if !m.stale {
-			m.tokens = min(m.tokens, want-moved)
+			m.tokens = min(m.tokens, want)
 		}
-		moves = append(moves, m)
-		moved += m.tokens
-		anyStale = anyStale || m.stale
+		taken = append(taken, m)
+		want -= m.tokens
 	}
-	if !anyStale && moved < smallest {
-		return nil
-	}
-	return moves
+	return taken
 }
 
 // planMoves adds the moves of an account's tokens to a transaction and returns
@@ -222,8 +232,7 @@
 		return 0
 	}
 	total := int64(0)
-	list := b.movableFrom(name, now)
-	for _, m := range list[:min(len(list), movesPerTransaction)] {
+	for _, m := range takeMovable(b.movableFrom(name, now), math.MaxInt64, nil) {
 		total += m.tokens
 	}
 	return total
--- a/core/escrow/move_test.go
+++ b/core/escrow/move_test.go
@@ -168,6 +168,20 @@
 		Expect(loan + f.inRow("mover").Granted).To(BeNumerically("<=", prepaidForMoves))
 	})
 
+	It("leave a holder that the store does not reach its offline limit and what it borrows", func() {
+		f := newMoveFixture()
+		f.wait(time.Hour)
+		limit := f.inRow("holder").OfflineLimit
+		Expect(f.holder.Balance("acme", f.now).Available).To(Equal(limit))
+		_, covered := f.holder.AvailableIn("acme", limit, f.now)
+		Expect(covered).To(BeTrue())
+		_, covered = f.holder.AvailableIn("acme", limit+1, f.now)
+		Expect(covered).To(BeFalse(), "only a write makes more available")
+		Expect(f.holder.Obtainable("acme", limit+1, f.now)).To(BeTrue())
+		f.holder.AddLoan("acme", 500)
+		Expect(f.holder.Balance("acme", f.now).Available).To(Equal(limit + 500))
+	})
+
 	It("are no more than needed when the row was written recently", func() {
 		f := newMoveFixture()
 		f.move(5_000)
