--- a/core/endpoints/cost.go
+++ b/core/endpoints/cost.go
@@ -7,9 +7,9 @@
 	assumedAim = time.Second
 	// comfortable is the part of an aim above which the cost rises steeply.
 	comfortable = 0.5
-	// withinAim is the weight of time below that: it hardly matters to the caller,
-	// and a prompt may wait where its prefix is cached.
-	withinAim = 0.4
+	// withinAim is the weight of time below that. It matters little to the caller,
+	// so that a prompt waits where its prefix is cached and in its own failure domain.
+	withinAim = 0.1
 	// steepness is the weight of the square of what exceeds comfortable.
 	steepness = 8.0
 )
