Crowded VMs refuse early, for clients to come back at another VM; crossing domains costs little

(2) Tumen: shared parts read again 3.4 million tokens against 1.07: with 0.05 of an aim for another domain a short prompt reads its prefix again in its own domain. (2) crossing costs 3 ms of 400 ms.

--- a/core/endpoints/choose_fleet.go
+++ b/core/endpoints/choose_fleet.go
@@ -4,9 +4,9 @@
 
 const (
 	// crossDomainCost is the cost of an endpoint in another failure domain, in units
-	// of aims: what crosses domains is slower and ends with the link between them, so
-	// that a small gain does not justify it.
-	crossDomainCost = 0.05
+	// of aims: 3 ms of an aim of 400 ms. It is less than reading a short shared
+	// prefix again, which would otherwise be read in each domain.
+	crossDomainCost = 0.0075
 	// alternateCached is the part of a shared prefix that the alternate endpoint of
 	// the prefix is expected to have cached. Requests that the preferred endpoint has
 	// no room for then gather there, instead of reading the prefix again everywhere.
--- a/io/gateway/load.go
+++ b/io/gateway/load.go
@@ -76,6 +76,26 @@
 	s.endpoints.SetFleetShare(rate / (rate + s.otherRates))
 }
 
+// crowded reports whether this VM has far more requests for its link than the other VMs
+// of its failure domain.
+func (s *state) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var own load.VMLoad
+	var others []load.VMLoad
+	for _, v := range s.members {
+		l := load.VMLoad{Rate: v.Rate, LinkBytesPerSecond: float64(v.LinkBytesPerSecond)}
+		switch {
+		case v.Name == s.vmName:
+			own = l
+		case v.Domain == s.failureDomain:
+			others = append(others, l)
+		}
+	}
+	own.Rate = s.ownRate
+	return load.Crowded(own, others)
+}
+
 // linkState returns the name of a link's state in metrics.
 func linkState(busy bool) string {
 	if busy {
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -19,6 +19,7 @@
 // lock. No method waits for anything but the lock.
 type state struct {
 	mu            sync.Mutex
+	vmName        string
 	failureDomain string
 	routeTable    *route.Table // nil until a configuration is known
 	endpoints     *endpoints.Table
@@ -48,7 +49,7 @@
 
 func newState(s Settings) *state {
 	return &state{
-		failureDomain: s.FailureDomain, endpoints: endpoints.NewTable(),
+		vmName: s.Name, failureDomain: s.FailureDomain, endpoints: endpoints.NewTable(),
 		groups:  newGroups(s),
 		retries: retrybudget.New(s.Retries),
 		vmCount: defaultVMCount, random: globalRandom{}, quarantine: quarantine.NewTable(s.Name),
--- a/io/gateway/uplink.go
+++ b/io/gateway/uplink.go
@@ -123,12 +123,16 @@
 // turn would come too late, or the request ends.
 func (x *exchange) awaitLink(ctx context.Context) *refusal {
 	u, bytes := &x.gateway.uplink, estimatedHeadBytes/2+len(x.body)
-	d, turn := u.arrive(linkqueue.Request{Rank: x.route.EffectivePriority(x.account), Bytes: bytes, Deadline: x.deadline})
+	deadline, crowded := x.linkDeadline()
+	d, turn := u.arrive(linkqueue.Request{Rank: x.route.EffectivePriority(x.account), Bytes: bytes, Deadline: deadline})
 	switch d.Verdict {
 	case linkqueue.Send:
 		x.linkBytes = bytes
 		return nil
 	case linkqueue.Refuse:
+		if crowded {
+			return x.refuseForLink("crowded", d.Expected, linkCongested.retryAfter)
+		}
 		return x.refuseForLink("refused", d.Expected, d.RetryAfter)
 	}
 	began := time.Now()
@@ -153,6 +157,19 @@
 	}
 }
 
+// linkDeadline returns by when the request must be served if it waits for the link, and
+// whether the VM is crowded while others of its failure domain have room. It is then the
+// aim of a request of which nothing was sent, as its client sends it to another VM.
+func (x *exchange) linkDeadline() (time.Time, bool) {
+	if x.attemptsSent > 0 || x.route.FirstTarget <= 0 || !x.gateway.state.crowded() {
+		return x.deadline, false
+	}
+	if aim := x.arrived.Add(x.route.FirstTarget); aim.Before(x.deadline) {
+		return aim, true
+	}
+	return x.deadline, true
+}
+
 // returnLinkBytes takes back the bytes of an attempt of which nothing was sent, so that a
 // lack of endpoints does not look like a full link.
 func (x *exchange) returnLinkBytes() {
