core/endpoints: work counts in tokens, prefixes are assigned without the speed

Learnt speeds differ between VMs and change with the noise of the service, so that a prefix changes its endpoint; and prompts left slow endpoints that have their prefix for fast ones. Change: rendezvous hashing without weights; work is reading at the service's usual speed.

--- a/core/endpoints/choose.go
+++ b/core/endpoints/choose.go
@@ -150,15 +150,15 @@
 		return nil, nil
 	}
 	lastID := sharedBlocks[len(sharedBlocks)-1].ID
-	var first, second float64
+	var first, second uint64
 	for _, e := range candidates {
-		score := e.rendezvousScore(xxhash.Sum64String(lastID + "/" + e.ID))
+		weight := xxhash.Sum64String(lastID + "/" + e.ID)
 		switch {
-		case preferred == nil || score > first:
+		case preferred == nil || weight > first:
 			alternate, second = preferred, first
-			preferred, first = e, score
-		case alternate == nil || score > second:
-			alternate, second = e, score
+			preferred, first = e, weight
+		case alternate == nil || weight > second:
+			alternate, second = e, weight
 		}
 	}
 	return preferred, alternate
--- a/core/endpoints/choose_fleet.go
+++ b/core/endpoints/choose_fleet.go
@@ -44,7 +44,7 @@
 	ms := s.TotalMs() + extraMs + e.failurePenaltyMs(now) + e.unexplainedPenaltyMs(now)
 	ms += e.profile.model.runningRequestMs(e.Slots) * e.runningRequests(now)
 	return Cost{
-		Own: ownCost(ms, r.aim()), Work: s.ReadMs / milliseconds(r.aim()),
+		Own: ownCost(ms, r.aim()), Work: s.ReadMs * e.speed / milliseconds(r.aim()),
 		Others: e.profile.costToOthers(s, r.aim(), count, e.fleet.share, now),
 	}
 }
--- a/core/endpoints/cost.go
+++ b/core/endpoints/cost.go
@@ -17,7 +17,7 @@
 // Cost is the cost of placing a request on an endpoint, in units of aims.
 type Cost struct {
 	Own    float64 // of the request's own time to the first chunk
-	Work   float64 // of the endpoint's time for reading the prompt, which all requests share
+	Work   float64 // of reading the prompt, at the service's usual speed: all requests share the endpoints
 	Others float64 // of the delay of requests with shorter aims
 }
 
