--- a/core/endpoints/cost.go
+++ b/core/endpoints/cost.go
@@ -7,9 +7,6 @@
 	assumedAim = time.Second
 	// comfortable is the part of an aim above which the cost rises steeply.
 	comfortable = 0.5
-	// withinAim is the weight of time below that. It matters little to the caller,
-	// so that a prompt waits where its prefix is cached and in its own failure domain.
-	withinAim = 0.1
 	// steepness is the weight of the square of what exceeds comfortable.
 	steepness = 8.0
 )
@@ -36,7 +33,7 @@
 func ownCost(ms float64, aim time.Duration) float64 {
 	part := ms / milliseconds(aim)
 	excess := max(part-comfortable, 0)
-	return withinAim*part + steepness*excess*excess
+	return part + steepness*excess*excess
 }
 
 // costToOthers returns the cost of the delay that reading a prompt brings to
