--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -43,6 +43,12 @@
 // ParseGateway parses and validates the content of a settings file. It ignores
 // unknown names, and returns an *Error that lists all problems found.
 func ParseGateway(raw []byte) (Gateway, error) {
+	return ParseGatewayWithDefaults(raw, func(string) string { return "" })
+}
+
+// ParseGatewayWithDefaults parses as ParseGateway does. lookup returns the value of a name
+// that the file lacks, or an empty text if there is none.
+func ParseGatewayWithDefaults(raw []byte, lookup func(name string) string) (Gateway, error) {
 	values, err := godotenv.UnmarshalBytes(raw)
 	if err != nil {
 		return Gateway{}, &Error{Problems: []string{"the file: " + err.Error()}}
@@ -52,7 +58,11 @@
 	target := reflect.ValueOf(&g).Elem()
 	for i := range target.NumField() {
 		name := target.Type().Field(i).Tag.Get("flag")
-		if value := values[name]; value != "" && !setField(target.Field(i), value) {
+		value := values[name]
+		if value == "" {
+			value = lookup(name)
+		}
+		if value != "" && !setField(target.Field(i), value) {
 			problems = append(problems, name+" cannot be read: "+value)
 		}
 	}
--- a/io/settings/gateway_test.go
+++ b/io/settings/gateway_test.go
@@ -23,6 +23,15 @@
 `
 
 var _ = Describe("ParseGateway", func() {
+	// Guards against settings of the environment that are lost, or go before the file.
+	It("takes what the file lacks from the defaults, and nothing else", func() {
+		defaults := map[string]string{"HAWTHORNSPAR_COLD_SLACK": "5", "HAWTHORNSPAR_NAME": "other"}
+		g, err := ParseGatewayWithDefaults([]byte(gatewayFile), func(name string) string { return defaults[name] })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.ColdSlack).To(Equal(5.0))
+		Expect(g.Name).NotTo(Equal("other"))
+	})
+
 	It("parses a settings file and ignores unknown names", func() {
 		g, err := ParseGateway([]byte(gatewayFile + "SOMETHING_NEW=1\n"))
 		Expect(err).NotTo(HaveOccurred())
--- a/io/settings/watcher.go
+++ b/io/settings/watcher.go
@@ -33,7 +33,7 @@
 		return Gateway{}, &Error{Problems: []string{"the file: " + err.Error()}}
 	}
 	w.content = raw
-	w.current, err = ParseGateway(raw)
+	w.current, err = ParseGatewayWithDefaults(raw, os.Getenv)
 	return w.current, err
 }
 
@@ -67,7 +67,7 @@
 		return
 	}
 	w.content = raw
-	next, err := ParseGateway(raw)
+	next, err := ParseGatewayWithDefaults(raw, os.Getenv)
 	if err != nil {
 		w.Log.Info("invalid settings file, keeping the current settings", "file", w.Path, "error", err.Error())
 		return
