http1: a reset that a write is told of ends no response in order

Callers got a part of a response as a complete one. An endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. The upload runs beside the read of the response; when its write is told ECONNRESET, the error of the socket is cleared and the next read returns 0 bytes, which net.Conn reports as io.EOF, as at an orderly end. A response without length or chunks ends with its connection, so what had come was relayed as the whole.

Change: Dialer.Dial returns connections whose reads report the error that a write took (ReportResets). At io.EOF a write that still runs is ended, and its result awaited, so that the order of the two does not matter. EPIPE, a passed deadline and a closed connection show no break: after an orderly end the kernel reports EPIPE. So a whole response whose endpoint ends it in order and resets only the rest of the upload is still complete (tested).

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -50,7 +50,7 @@
 // request only, and work on.
 func (c *Conn) Close() {
 	c.closeOnce.Do(func() {
-		if t, ok := c.netConn.(*net.TCPConn); ok && c.outstanding.Load() {
+		if t, ok := c.netConn.(tcpConn); ok && c.outstanding.Load() {
 			// If it fails, the connection is closed without a reset.
 			_ = t.SetLinger(0)
 		}
--- a/io/http1/dialer.go
+++ b/io/http1/dialer.go
@@ -38,9 +38,13 @@
 	}}
 }
 
-// Dial connects to an IP:port.
+// Dial connects to an IP:port. Reads of the connection report resets as ReportResets says.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return d.dialer.DialContext(ctx, "tcp4", address)
+	c, err := d.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return ReportResets(c), nil
 }
 
 func setUnacknowledgedTimeout(_, _ string, raw syscall.RawConn) error {
