endpoint, platform: a reset during an upload ends no response on the own interface

Callers of app services got a part of a response as a complete one on the own interface, too, billed and recorded as the outcome of their claim, when the service reset the connection while the request was still being written. An object counted as stored (PutObject) when the store had broken off its 200 and had not read the object.

PutObject did not read the response's body.

Change: the transports to endpoints, to the store and of the operators' client open their connections with http1.ReportingDial, which Dialer uses as well; PutObject reads the response to its end.

--- a/io/endpoint/attempt.go
+++ b/io/endpoint/attempt.go
@@ -4,12 +4,10 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
@@ -59,13 +57,6 @@
 	a.client.post(end)
 }
 
-// dialer opens connections to IP addresses within a timeout.
-type dialer struct{ timeout time.Duration }
-
-func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: d.timeout}).DialContext(ctx, network, address)
-}
-
 // newRequest returns the HTTP request for the endpoint. As soon as the request
 // has a connection, the attempt is marked as sent.
 func (a *attempt) newRequest(ctx context.Context) (*http.Request, error) {
--- /dev/null
+++ b/io/endpoint/broken_response_test.go
@@ -0,0 +1,117 @@
+package endpoint
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/entity"
+	"hawthornspar/core/inbox"
+	"hawthornspar/core/outbox"
+)
+
+const (
+	// longBytes is more than the buffers of a connection hold.
+	longBytes = 16 << 20
+	// resetDelay is the time in which a request fills the buffers of its connection.
+	resetDelay = 50 * time.Millisecond
+)
+
+// rawEndpoint writes fixed bytes in response to each request, and then ends the connection.
+type rawEndpoint struct {
+	listener net.Listener
+	response string
+	early    bool // it doesn't read bodies, and resets connections
+}
+
+func listenRaw(response string, early bool) *rawEndpoint {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	e := &rawEndpoint{l, response, early}
+	go e.loop()
+	return e
+}
+
+func (e *rawEndpoint) loop() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.respond(c.(*net.TCPConn))
+	}
+}
+
+func (e *rawEndpoint) respond(c *net.TCPConn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if !e.early {
+		_, _ = io.Copy(io.Discard, r.Body) // the test notices what is missing
+	}
+	_, _ = c.Write([]byte(e.response))
+	if e.early {
+		time.Sleep(resetDelay)
+		_ = c.SetLinger(0) // the test notices an end without a reset
+	}
+}
+
+// bodyExchange is a request with a body.
+type bodyExchange struct {
+	testExchange
+	body []byte
+}
+
+func (x *bodyExchange) Request(address string) (method, url string, header http.Header, body []byte) {
+	return http.MethodPost, "http://" + address + "/orders", http.Header{}, x.body
+}
+
+// call sends a request with a body to the endpoint, and returns how its attempt ended.
+func (e *rawEndpoint) call(kind string, body []byte) inbox.AttemptEnded {
+	ends := make(chan inbox.AttemptEnded, 1)
+	c := New("i1", func(event inbox.Event) {
+		if ended, ok := event.(inbox.AttemptEnded); ok {
+			ends <- ended
+		}
+	}, logr.Discard())
+	c.Start(outbox.StartAttempt{Request: 1, Attempt: 1, Endpoint: "e1", Address: e.listener.Addr().String(), Kind: kind}, &bodyExchange{body: body})
+	var ended inbox.AttemptEnded
+	Eventually(ends).WithTimeout(6 * time.Second).Should(Receive(&ended))
+	return ended
+}
+
+// eventText is a stream of one event, without its end.
+const eventText = "data: {\"choices\":[{\"delta\":{\"content\":\"word\"}}]}\n\n"
+
+var _ = Describe("A response that is broken off while its request is still being written", func() {
+	for _, t := range []struct {
+		kind string
+		name string
+		text string
+	}{
+		{entity.KindApp, "of an app service without a length", "HTTP/1.1 200 OK\r\n\r\npart"},
+		{entity.KindApp, "of an app service, of HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\npart"},
+		{entity.KindApp, "of an app service in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+		{entity.KindApp, "of an app service with a length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"},
+		{entity.KindModel, "of an engine", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + eventText},
+	} {
+		// Guards against a part of a response that is billed and passed on as a complete one.
+		It("is not complete, and no proof that the request has not run: "+t.name, func() {
+			e := listenRaw(t.text, true)
+			for range 2 {
+				ended := e.call(t.kind, make([]byte, longBytes))
+				Expect(ended.Outcome).To(Equal(inbox.OutcomeConnectionFailed), "%q", ended.Response.Body)
+				Expect(ended.Proof.Holds()).To(BeFalse())
+			}
+		})
+	}
+})
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
 	"hawthornspar/core/outbox"
+	"hawthornspar/io/http1"
 )
 
 // Timeouts and limits of attempts.
@@ -69,11 +71,10 @@
 
 // New returns a client whose run IDs start with the VM's incarnation.
 func New(incarnation string, post Post, log logr.Logger) *Client {
-	d := &dialer{timeout: dialTimeout}
 	// Each request gets its own connection. On a reused one, net/http silently repeats
 	// some requests that fail, which would run a call twice, and a late second copy of
 	// an earlier response would count as the response.
-	transport := &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DialContext: http1.ReportingDial(&net.Dialer{Timeout: dialTimeout}), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		incarnation: incarnation, post: post, log: log, cancelFuncs: map[attemptID]context.CancelFunc{},
 		modelClient: &http.Client{Transport: transport},
--- a/io/entry/client.go
+++ b/io/entry/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -38,7 +39,9 @@
 // New returns a client for entry VMs at the given IP:port addresses, which sends
 // the operator's secret.
 func New(addresses []string, secret string) *Client {
-	client := &http.Client{Timeout: callTimeout, Transport: &http1.BoundedTransport{Base: http.DefaultTransport, MaxBytes: maxResponseBytes}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = http1.ReportingDial(&net.Dialer{})
+	client := &http.Client{Timeout: callTimeout, Transport: &http1.BoundedTransport{Base: transport, MaxBytes: maxResponseBytes}}
 	base := sling.New().Client(client).Set("Authorization", "Bearer "+secret)
 	return &Client{addresses: addresses, httpClient: client, baseRequest: base}
 }
--- a/io/http1/dialer.go
+++ b/io/http1/dialer.go
@@ -27,24 +27,22 @@
 )
 
 // Dialer opens TCP connections that fail soon after their peer becomes unreachable.
-type Dialer struct{ dialer net.Dialer }
+type Dialer struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
 
 // NewDialer returns a Dialer.
 func NewDialer() *Dialer {
-	return &Dialer{dialer: net.Dialer{
+	return &Dialer{ReportingDial(&net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUnacknowledgedTimeout,
-	}}
+	})}
 }
 
 // Dial connects to an IP:port. Reads of the connection report resets as ReportResets says.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	c, err := d.dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	return ReportResets(c), nil
+	return d.dial(ctx, "tcp4", address)
 }
 
 func setUnacknowledgedTimeout(_, _ string, raw syscall.RawConn) error {
--- a/io/http1/reset.go
+++ b/io/http1/reset.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -46,6 +47,18 @@
 	return c
 }
 
+// ReportingDial returns a DialContext for a transport of net/http, whose connections report
+// resets as ReportResets says.
+func ReportingDial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return ReportResets(c), nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *resetConn) Write(p []byte) (int, error) {
 	c.writing.Lock()
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -41,7 +42,7 @@
 
 // New returns a client of the platform at address, an IP:port.
 func New(address string, post Post) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeadBytes}
+	transport := &http.Transport{DialContext: http1.ReportingDial(&net.Dialer{}), MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeadBytes}
 	client := &http.Client{Timeout: requestTimeout, Transport: &http1.BoundedTransport{Base: transport, MaxBytes: maxResponseBytes}}
 	return &Client{base: sling.New().Client(client).Base("http://" + address), httpClient: client, post: post}
 }
@@ -183,7 +184,9 @@
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{Status: response.StatusCode}
 	}
-	return nil
+	// A response that is broken off does not show that the store has the whole object.
+	_, err = io.Copy(io.Discard, response.Body)
+	return errors.Wrap(err, "object")
 }
 
 // GetObject returns the content of an object of the object store. For a missing
