http1: a response whose status no server may send is no response

A response with the status 000 reached callers, or held their requests. On the own interface it was a complete answer of an app service, billed as a success (below 300) and recorded; an engine's stream with that status was taken for the rejection of its request. On the platform it counted as an interim response: its request waited until its deadline, and what followed on the connection was taken for the answer ("000" and then a 200: the client got the 200). Another VM's 000 counted as its answer, as errors begin at 300 there. 600 was passed on.

Cause: net/http and quic-go accept any number as a status, and the code asked only whether it was below some bound.

The attempt may have run, so it is sent again only where its route allows that, and no refusal says that it has not.

--- a/io/endpoint/broken_response_test.go
+++ b/io/endpoint/broken_response_test.go
@@ -115,3 +115,24 @@
 		})
 	}
 })
+
+var _ = Describe("A malformed response of an endpoint", func() {
+	for _, t := range []struct {
+		kind string
+		name string
+		text string
+	}{
+		{entity.KindApp, "of an app service with the status 000", "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\ntext"},
+		{entity.KindApp, "of an app service with the status 600", "HTTP/1.1 600 None\r\nContent-Length: 4\r\n\r\ntext"},
+		{entity.KindApp, "of an app service with the status 000 that says that the request has not run", "HTTP/1.1 000 None\r\nX-Not-Run: i1-1-1\r\nContent-Length: 4\r\n\r\ntext"},
+		{entity.KindApp, "of an app service that switches protocols", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\ntext"},
+		{entity.KindModel, "of an engine with the status 000", "HTTP/1.1 000 None\r\nContent-Type: text/event-stream\r\n\r\n" + eventText + "data: [DONE]\n\n"},
+	} {
+		// Guards against a response that no HTTP server may send and that is billed and passed on.
+		It("is not complete, and no proof that the request has not run: "+t.name, func() {
+			ended := listenRaw(t.text, false).call(t.kind, []byte("{}"))
+			Expect(ended.Outcome).To(Equal(inbox.OutcomeConnectionFailed), "%q", ended.Response.Body)
+			Expect(ended.Proof.Holds()).To(BeFalse())
+		})
+	}
+})
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -75,10 +75,11 @@
 	// some requests that fail, which would run a call twice, and a late second copy of
 	// an earlier response would count as the response.
 	transport := &http.Transport{DialContext: http1.ReportingDial(&net.Dialer{Timeout: dialTimeout}), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	checked := &http1.CheckedTransport{Base: transport}
 	return &Client{
 		incarnation: incarnation, post: post, log: log, cancelFuncs: map[attemptID]context.CancelFunc{},
-		modelClient: &http.Client{Transport: transport},
-		appClient:   &http.Client{Transport: transport, CheckRedirect: returnRedirect},
+		modelClient: &http.Client{Transport: checked},
+		appClient:   &http.Client{Transport: checked, CheckRedirect: returnRedirect},
 	}
 }
 
--- a/io/entry/client.go
+++ b/io/entry/client.go
@@ -41,7 +41,7 @@
 func New(addresses []string, secret string) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = http1.ReportingDial(&net.Dialer{})
-	client := &http.Client{Timeout: callTimeout, Transport: &http1.BoundedTransport{Base: transport, MaxBytes: maxResponseBytes}}
+	client := &http.Client{Timeout: callTimeout, Transport: &http1.BoundedTransport{Base: &http1.CheckedTransport{Base: transport}, MaxBytes: maxResponseBytes}}
 	base := sling.New().Client(client).Set("Authorization", "Bearer "+secret)
 	return &Client{addresses: addresses, httpClient: client, baseRequest: base}
 }
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -218,8 +218,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if !isInterim(response.StatusCode) {
+			return response, checkStatus(response.StatusCode)
 		}
 	}
 	return nil, &InterimResponsesError{}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -20,6 +20,7 @@
 
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
+	"hawthornspar/io/http1"
 	"hawthornspar/io/protobuf"
 	"hawthornspar/io/wire"
 )
@@ -39,8 +40,9 @@
 	transport    *quic.Transport
 	listener     *quic.Listener
 	messageTLS   *tls.Config
-	server       *http3.Server    // for forwarded requests
-	client       *http3.Transport // for forwarded requests
+	server       *http3.Server     // for forwarded requests
+	client       *http3.Transport  // for forwarded requests
+	checked      http.RoundTripper // client, without malformed responses
 	mu           sync.Mutex
 	channels     map[string]*channel   // by VM name
 	forwardConns map[string]*quic.Conn // outgoing connections for forwarded requests, by address
@@ -85,6 +87,7 @@
 	forwardTLS := mutualTLS.Clone()
 	n.server = &http3.Server{Handler: handler}
 	n.client = &http3.Transport{TLSClientConfig: forwardTLS, QUICConfig: quicConfig(n.maxIdle), Dial: n.dialForward}
+	n.checked = &http1.CheckedTransport{Base: n.client}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	go n.run()
 	return n, nil
@@ -174,7 +177,7 @@
 
 // RoundTrip sends a request to another VM. Its URL must have the scheme https
 // and the other VM's IP:port.
-func (n *Node) RoundTrip(r *http.Request) (*http.Response, error) { return n.client.RoundTrip(r) }
+func (n *Node) RoundTrip(r *http.Request) (*http.Response, error) { return n.checked.RoundTrip(r) }
 
 // Send queues a message for another VM. Messages may be lost but are never
 // reordered.
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -43,7 +43,7 @@
 // New returns a client of the platform at address, an IP:port.
 func New(address string, post Post) *Client {
 	transport := &http.Transport{DialContext: http1.ReportingDial(&net.Dialer{}), MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeadBytes}
-	client := &http.Client{Timeout: requestTimeout, Transport: &http1.BoundedTransport{Base: transport, MaxBytes: maxResponseBytes}}
+	client := &http.Client{Timeout: requestTimeout, Transport: &http1.BoundedTransport{Base: &http1.CheckedTransport{Base: transport}, MaxBytes: maxResponseBytes}}
 	return &Client{base: sling.New().Client(client).Base("http://" + address), httpClient: client, post: post}
 }
 
