storepath: a response of the store that is broken off is passed on as broken

A VM that reaches the store only through another VM got a part of the store's response as a complete one: the VM between logged that the response ended early and ended its own in order.

Cause: Relay returned after a failed copy, which net/http and quic-go take for the end of the response.

Change: it aborts the response, once its head is sent, so that the reader fails and the VM between does not count as lost.

Evidence: io/storepath "shows that a response of the store was broken off" failed before ("part" read as whole). What the store sends is JSON, which the reader does not decode in part, so that no wrong row is known to have come of this.

--- a/io/storepath/relay.go
+++ b/io/storepath/relay.go
@@ -21,7 +21,7 @@
 }
 
 // ServeHTTP implements http.Handler. It responds 502 when this VM cannot reach the
-// store.
+// store, and aborts a response that the store breaks off.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if l.Transport.directFailing() {
 		w.WriteHeader(http.StatusBadGateway)
@@ -37,9 +37,17 @@
 	w.WriteHeader(response.StatusCode)
 	if _, err := io.Copy(w, response.Body); err != nil {
 		l.Log.V(1).Info("response of the store not forwarded", "to", r.RemoteAddr, "error", err.Error())
+		abortResponse(w)
 	}
 }
 
+// abortResponse aborts a response that has begun, so that the other VM sees that it is
+// broken off. The head is sent first: without one, the other VM would take this one for lost.
+func abortResponse(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush() // fails only on a closed connection
+	panic(http.ErrAbortHandler)
+}
+
 // forward sends a request of another VM to the store.
 func (l *Relay) forward(r *http.Request) (*http.Response, error) {
 	target := &url.URL{Scheme: "http", Host: l.Store, Path: strings.TrimPrefix(r.URL.Path, PathPrefix), RawQuery: r.URL.RawQuery}
--- a/io/storepath/transport_test.go
+++ b/io/storepath/transport_test.go
@@ -185,6 +185,26 @@
 		Expect(third.direct.requests).To(BeZero())
 	})
 
+	// Guards against a part of a response of the store that a VM takes for a complete one.
+	It("shows that a response of the store was broken off", func() {
+		broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part") // the test compares what was read
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}))
+		DeferCleanup(broken.Close)
+		other := newVM(broken)
+		own.transport.SetPeers(peers{other})
+		own.direct.cut = true
+		request, err := http.NewRequest(http.MethodGet, broken.URL+"/rows", nil)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := own.transport.RoundTrip(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).To(HaveOccurred(), "%q", body)
+	})
+
 	It("does not take a request that its caller gave up for a failure", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
