http1: a response of HTTP/1.0 with a transfer encoding is no response

A client got the framing of chunks as part of the body ("2\r\nok\r\n0\r\n\r\n") when an endpoint sent chunks under HTTP/1.0, found beside the names that hide an encoding.

Cause: net/http drops Transfer-Encoding from heads of HTTP/1.0 and reads the body to the end of the connection.

Change: Conn fails such a response (RFC 9112, section 6.1: faulty framing).

Evidence: two of three specs "A response of HTTP/1.0" failed before; bodies of that version with a length, or that end with their connection, are read whole.

Not covered: transports of net/http (own interface, store), which hand on no trace of the field.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -235,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(head); err != nil {
+	if err := checkHead(head, response); err != nil {
 		return nil, err
 	}
 	response.Body = &trailerChecker{ReadCloser: response.Body, response: response}
--- a/io/http1/malformed.go
+++ b/io/http1/malformed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -28,6 +29,13 @@
 // Error implements error.
 func (e *FieldNameError) Error() string { return fmt.Sprintf("the name of a field is %q", e.Name) }
 
+// EncodingError reports a response of HTTP/1.0 with a transfer encoding, which that version
+// does not have, so that its body has no known end (RFC 9112, section 6.1).
+type EncodingError struct{}
+
+// Error implements error.
+func (*EncodingError) Error() string { return "a response of HTTP/1.0 has a transfer encoding" }
+
 // CheckedTransport fails responses that are malformed, although net/http accepts them.
 type CheckedTransport struct{ Base http.RoundTripper }
 
@@ -74,8 +82,10 @@
 }
 
 // checkHead reports a line in the raw head of a response whose name is no token. A folded
-// line is one, too: it could hide the length of the body. What follows the head is ignored.
-func checkHead(raw []byte) error {
+// line is one, too: it could hide the length of the body. Nor may there be an encoding that
+// the version of the response does not have, which net/http ignores. What follows the head
+// is not read.
+func checkHead(raw []byte, r *http.Response) error {
 	_, fields, _ := bytes.Cut(raw, []byte("\n"))
 	for line := range bytes.Lines(fields) {
 		line = bytes.TrimRight(line, "\r\n")
@@ -86,6 +96,9 @@
 		if !httpguts.ValidHeaderFieldName(string(name)) {
 			return &FieldNameError{Name: string(name)}
 		}
+		if !r.ProtoAtLeast(1, 1) && strings.EqualFold(string(name), "Transfer-Encoding") {
+			return &EncodingError{}
+		}
 	}
 	return nil
 }
--- a/io/http1/malformed_test.go
+++ b/io/http1/malformed_test.go
@@ -122,6 +122,24 @@
 	}
 })
 
+var _ = Describe("A response of HTTP/1.0", func() {
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding"} {
+		// Guards against a body that has the framing of its chunks in it.
+		It("is an error if it states an encoding, which its version does not have: "+name, func() {
+			body, err := roundTrip(listen(0, "HTTP/1.0 200 OK\r\nId: mine\r\n"+name+": chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+			Expect(err).To(HaveOccurred(), "%q", body)
+		})
+	}
+
+	It("is complete at the end of its connection, or of its length", func() {
+		for _, field := range []string{"", "Content-Length: 2\r\n"} {
+			body, err := roundTrip(listen(0, "HTTP/1.0 200 OK\r\nId: mine\r\n"+field+"\r\nok"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("ok"))
+		}
+	})
+})
+
 var _ = Describe("A response with unusual fields", func() {
 	const name = "!#$%&'*+-.^_`|~09azAZ"
 	for _, t := range []struct{ name, response string }{
