standin/raw: one stand-in for servers in trouble

Four tests of broken responses each had their own server that writes fixed bytes and resets. They share one now, which also ends its side in order with a request unread.

--- a/io/endpoint/broken_response_test.go
+++ b/io/endpoint/broken_response_test.go
@@ -1,9 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,57 +11,9 @@
 	"hawthornspar/core/entity"
 	"hawthornspar/core/inbox"
 	"hawthornspar/core/outbox"
+	"hawthornspar/standin/raw"
 )
 
-const (
-	// longBytes is more than the buffers of a connection hold.
-	longBytes = 16 << 20
-	// resetDelay is the time in which a request fills the buffers of its connection.
-	resetDelay = 50 * time.Millisecond
-)
-
-// rawEndpoint writes fixed bytes in response to each request, and then ends the connection.
-type rawEndpoint struct {
-	listener net.Listener
-	response string
-	early    bool // it doesn't read bodies, and resets connections
-}
-
-func listenRaw(response string, early bool) *rawEndpoint {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	e := &rawEndpoint{l, response, early}
-	go e.loop()
-	return e
-}
-
-func (e *rawEndpoint) loop() {
-	for {
-		c, err := e.listener.Accept()
-		if err != nil {
-			return
-		}
-		e.respond(c.(*net.TCPConn))
-	}
-}
-
-func (e *rawEndpoint) respond(c *net.TCPConn) {
-	defer c.Close()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	if !e.early {
-		_, _ = io.Copy(io.Discard, r.Body) // the test notices what is missing
-	}
-	_, _ = c.Write([]byte(e.response))
-	if e.early {
-		time.Sleep(resetDelay)
-		_ = c.SetLinger(0) // the test notices an end without a reset
-	}
-}
-
 // bodyExchange is a request with a body.
 type bodyExchange struct {
 	testExchange
@@ -75,15 +24,19 @@
 	return http.MethodPost, "http://" + address + "/orders", http.Header{}, x.body
 }
 
-// call sends a request with a body to the endpoint, and returns how its attempt ended.
-func (e *rawEndpoint) call(kind string, body []byte) inbox.AttemptEnded {
+// call sends a request with a body to an endpoint in trouble, and returns how its attempt
+// ended.
+func call(response string, end raw.End, kind string, body []byte) inbox.AttemptEnded {
+	s, err := raw.Listen(response, end)
+	Expect(err).NotTo(HaveOccurred())
+	defer s.Close()
 	ends := make(chan inbox.AttemptEnded, 1)
 	c := New("i1", func(event inbox.Event) {
 		if ended, ok := event.(inbox.AttemptEnded); ok {
 			ends <- ended
 		}
 	}, logr.Discard())
-	c.Start(outbox.StartAttempt{Request: 1, Attempt: 1, Endpoint: "e1", Address: e.listener.Addr().String(), Kind: kind}, &bodyExchange{body: body})
+	c.Start(outbox.StartAttempt{Request: 1, Attempt: 1, Endpoint: "e1", Address: s.Address, Kind: kind}, &bodyExchange{body: body})
 	var ended inbox.AttemptEnded
 	Eventually(ends).WithTimeout(6 * time.Second).Should(Receive(&ended))
 	return ended
@@ -106,9 +59,8 @@
 	} {
 		// Guards against a part of a response that is billed and passed on as a complete one.
 		It("is not complete, and no proof that the request has not run: "+t.name, func() {
-			e := listenRaw(t.text, true)
 			for range 2 {
-				ended := e.call(t.kind, make([]byte, longBytes))
+				ended := call(t.text, raw.Reset, t.kind, make([]byte, raw.LongBytes))
 				Expect(ended.Outcome).To(Equal(inbox.OutcomeConnectionFailed), "%q", ended.Response.Body)
 				Expect(ended.Proof.Holds()).To(BeFalse())
 			}
@@ -136,7 +88,7 @@
 	} {
 		// Guards against a response that no HTTP server may send and that is billed and passed on.
 		It("is not complete, and no proof that the request has not run: "+t.name, func() {
-			ended := listenRaw(t.text, false).call(t.kind, []byte("{}"))
+			ended := call(t.text, raw.Close, t.kind, []byte("{}"))
 			Expect(ended.Outcome).To(Equal(inbox.OutcomeConnectionFailed), "%q", ended.Response.Body)
 			Expect(ended.Proof.Holds()).To(BeFalse())
 		})
