http1: bound what a malformed name adds to a log line

The error of such a response is logged with the request; a name may have 64 KiB. The log has its first 40 bytes now. readHead returns no response beside an error.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -218,9 +218,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if !isInterim(response.StatusCode) {
-			return response, checkStatus(response.StatusCode)
+		if isInterim(response.StatusCode) {
+			continue
 		}
+		if err := checkStatus(response.StatusCode); err != nil {
+			return nil, err
+		}
+		return response, nil
 	}
 	return nil, &InterimResponsesError{}
 }
--- a/io/http1/malformed.go
+++ b/io/http1/malformed.go
@@ -23,11 +23,11 @@
 func (e *StatusCodeError) Error() string { return fmt.Sprintf("the status is %03d", e.Status) }
 
 // FieldNameError reports a header or trailer field whose name is no token (RFC 9110, section
-// 5.1), or a line that has no name of its own.
+// 5.1), such as a folded line, which has no name of its own.
 type FieldNameError struct{ Name string }
 
-// Error implements error.
-func (e *FieldNameError) Error() string { return fmt.Sprintf("the name of a field is %q", e.Name) }
+// Error implements error. Of a long name it has the beginning only, as it is logged.
+func (e *FieldNameError) Error() string { return fmt.Sprintf("the name of a field is %.40q", e.Name) }
 
 // EncodingError reports a response of HTTP/1.0 with a transfer encoding, which that version
 // does not have, so that its body has no known end (RFC 9112, section 6.1).
