gateway: a registry counts as confirmed once its changes are in force

Trace: 01:57:55.874 the VM goes on and is stale; .876 two requests are refused for that, then eight are sent by registry 27, three of them to the endpoint; .878 another VM's registry 29 is taken over. Cause: the VM recorded that the registry was confirmed, and took over its changes after that; requests between the two went by the old one. The load made the gap 3 ms.

Change: the changes come first, for a watch and a read of the store and for another VM's view.

--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -71,8 +71,14 @@
 		p.gateway.log.V(1).Info("fleet view not received", "from", from, "error", err.Error())
 		return
 	}
-	p.gateway.state.recordView(view, sent)
-	p.gateway.adopt(view, from)
+	p.gateway.adoptConfirmed(view, from, sent)
+}
+
+// adoptConfirmed takes over the view of another VM, which was requested at the given time,
+// and then records what it confirms: before, requests would go by the old registry.
+func (g *Gateway) adoptConfirmed(v fleetView, from string, sent time.Time) {
+	g.adopt(v, from)
+	g.state.recordView(v, sent)
 }
 
 // receivedView is the view of one VM.
--- /dev/null
+++ b/io/gateway/knowledge_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/endpoints"
+)
+
+// leavingStore is a store with an endpoint that leaves.
+type leavingStore struct {
+	Store
+	change endpoints.RegistryChange
+}
+
+func (s *leavingStore) WatchRegistry(context.Context, int64, time.Duration) (endpoints.RegistryChange, int64, error) {
+	return s.change, 2, nil
+}
+
+func (s *leavingStore) Registry(context.Context) (endpoints.RegistryChange, int64, error) {
+	return s.change, 2, nil
+}
+
+var _ = Describe("A VM that goes on after it was suspended", func() {
+	const notice = 3 * time.Second
+	there := endpoints.Registration{ID: "e1", Service: "apps", Address: "10.0.0.1:80"}
+	left := there
+	left.Draining = true
+	change := endpoints.RegistryChange{Put: []endpoints.Registration{left}}
+	for _, t := range []struct {
+		name  string
+		learn func(*Gateway)
+	}{
+		{"a watch of the store", func(g *Gateway) {
+			_, _, err := (&registryTable{g, &dependency{}}).watch(context.Background(), 1)
+			Expect(err).NotTo(HaveOccurred())
+		}},
+		{"a read of the store", func(g *Gateway) {
+			_, err := (&registryTable{g, &dependency{}}).read(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+		}},
+		{"another VM", func(g *Gateway) {
+			g.adoptConfirmed(fleetView{VM: "other", RegistryVersion: 2, Endpoints: change.Put}, "other", time.Now())
+		}},
+	} {
+		// Guards against requests by the old registry between its confirmation and its changes.
+		It("does not count its registry as confirmed before it has the changes: "+t.name, func() {
+			g := newTestGateway(Settings{Name: "vm", DrainNotice: notice})
+			g.store = &leavingStore{change: change}
+			g.changeRegistry(endpoints.RegistryChange{Put: []endpoints.Registration{there}}, 1, time.Now())
+			g.state.recordEvacuationCheck(time.Now())
+			g.state.recordVMRequest(time.Now(), nil)
+			g.state.recordRegistryCheck(time.Now().Add(-4 * time.Second))
+			var stale []bool
+			g.log = funcr.New(func(_, line string) {
+				if strings.Contains(line, `"change"="leaving"`) { // logged with the lock held
+					stale = append(stale, g.state.knowledge.Stale(notice, time.Now()))
+				}
+			}, funcr.Options{})
+			t.learn(g)
+			Expect(stale).To(Equal([]bool{true}))
+			Expect(g.isStale()).To(BeFalse())
+		})
+	}
+})
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -129,8 +129,8 @@
 	if err != nil {
 		return 0, err
 	}
-	r.gateway.state.recordRegistryCheck(sent)
 	r.gateway.replaceRegistry(change, version, r.expiryTime())
+	r.gateway.state.recordRegistryCheck(sent)
 	return version, nil
 }
 
@@ -141,8 +141,9 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	r.gateway.state.recordRegistryCheck(confirmedAt(sent, !change.Empty()))
+	confirmed := confirmedAt(sent, !change.Empty()) // by when the response came
 	r.gateway.changeRegistry(change, next, r.expiryTime())
+	r.gateway.state.recordRegistryCheck(confirmed)
 	return next, registryPause, nil
 }
 
