--- a/io/endpoint/broken_response_test.go
+++ b/io/endpoint/broken_response_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -30,12 +29,7 @@
 	s, err := raw.Listen(response, end)
 	Expect(err).NotTo(HaveOccurred())
 	defer s.Close()
-	ends := make(chan inbox.AttemptEnded, 1)
-	c := New("i1", func(event inbox.Event) {
-		if ended, ok := event.(inbox.AttemptEnded); ok {
-			ends <- ended
-		}
-	}, logr.Discard())
+	c, ends := newTestClient()
 	c.Start(outbox.StartAttempt{Request: 1, Attempt: 1, Endpoint: "e1", Address: s.Address, Kind: kind}, &bodyExchange{body: body})
 	var ended inbox.AttemptEnded
 	Eventually(ends).WithTimeout(6 * time.Second).Should(Receive(&ended))
--- a/io/endpoint/not_run_test.go
+++ b/io/endpoint/not_run_test.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -45,12 +44,7 @@
 			s := &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
 			go s.Serve(l)
 			defer s.Close()
-			ends := make(chan inbox.AttemptEnded, 1)
-			c := New("i1", func(event inbox.Event) {
-				if ended, ok := event.(inbox.AttemptEnded); ok {
-					ends <- ended
-				}
-			}, logr.Discard())
+			c, ends := newTestClient()
 			c.Start(outbox.StartAttempt{Request: 1, Attempt: 1, Endpoint: "e1", Address: l.Addr().String(), Kind: entity.KindApp}, &testExchange{})
 			var ended inbox.AttemptEnded
 			Eventually(ends).WithTimeout(3 * time.Second).Should(Receive(&ended))
--- a/io/endpoint/refusal_test.go
+++ b/io/endpoint/refusal_test.go
@@ -97,6 +97,16 @@
 func (x *testExchange) SetFinalEvents(int, [][]byte, int64, int64) {}
 func (x *testExchange) SetResponse(int, entity.AppResponse)        {}
 
+// newTestClient returns a client and the ends of its attempts.
+func newTestClient() (*Client, <-chan inbox.AttemptEnded) {
+	ends := make(chan inbox.AttemptEnded, 1)
+	return New("i1", func(event inbox.Event) {
+		if ended, ok := event.(inbox.AttemptEnded); ok {
+			ends <- ended
+		}
+	}, logr.Discard()), ends
+}
+
 var _ = Describe("Client", func() {
 	// Guards against "not run" for a request that an engine runs.
 	It("takes no refusal of an earlier request, written once more, as its own", func() {
@@ -105,12 +115,7 @@
 		defer l.Close()
 		e := &repeatingEngine{listener: l}
 		go e.loop()
-		ends := make(chan inbox.AttemptEnded, 1)
-		c := New("i1", func(event inbox.Event) {
-			if ended, ok := event.(inbox.AttemptEnded); ok {
-				ends <- ended
-			}
-		}, logr.Discard())
+		c, ends := newTestClient()
 		outcome := func(request int64) inbox.Outcome {
 			c.Start(outbox.StartAttempt{Request: request, Attempt: 1, Endpoint: "e1", Address: l.Addr().String(), Kind: entity.KindModel}, &testExchange{})
 			var ended inbox.AttemptEnded
--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -71,12 +71,13 @@
 		p.gateway.log.V(1).Info("fleet view not received", "from", from, "error", err.Error())
 		return
 	}
-	p.gateway.adoptConfirmed(view, from, sent)
+	p.gateway.adoptAndConfirm(view, from, sent)
 }
 
-// adoptConfirmed takes over the view of another VM, which was requested at the given time,
-// and then records what it confirms: before, requests would go by the old registry.
-func (g *Gateway) adoptConfirmed(v fleetView, from string, sent time.Time) {
+// adoptAndConfirm takes over the view of another VM, which was requested at the given time,
+// and only then records what it confirms. Between the two, requests would go by the old
+// registry.
+func (g *Gateway) adoptAndConfirm(v fleetView, from string, sent time.Time) {
 	g.adopt(v, from)
 	g.state.recordView(v, sent)
 }
--- a/io/gateway/knowledge_test.go
+++ b/io/gateway/knowledge_test.go
@@ -45,7 +45,7 @@
 			Expect(err).NotTo(HaveOccurred())
 		}},
 		{"another VM", func(g *Gateway) {
-			g.adoptConfirmed(fleetView{VM: "other", RegistryVersion: 2, Endpoints: change.Put}, "other", time.Now())
+			g.adoptAndConfirm(fleetView{VM: "other", RegistryVersion: 2, Endpoints: change.Put}, "other", time.Now())
 		}},
 	} {
 		// Guards against requests by the old registry between its confirmation and its changes.
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -141,7 +141,8 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	confirmed := confirmedAt(sent, !change.Empty()) // by when the response came
+	// It depends on when the response came, and not on how long its changes take.
+	confirmed := confirmedAt(sent, !change.Empty())
 	r.gateway.changeRegistry(change, next, r.expiryTime())
 	r.gateway.state.recordRegistryCheck(confirmed)
 	return next, registryPause, nil
--- a/io/http1/bounded.go
+++ b/io/http1/bounded.go
@@ -32,7 +32,12 @@
 // CloseIdleConnections closes the idle connections of the transport below, for
 // http.Client.
 func (t *BoundedTransport) CloseIdleConnections() {
-	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+	CloseIdleConnections(t.Base)
+}
+
+// CloseIdleConnections closes the idle connections of a transport that keeps some.
+func CloseIdleConnections(t http.RoundTripper) {
+	if c, ok := t.(interface{ CloseIdleConnections() }); ok {
 		c.CloseIdleConnections()
 	}
 }
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -232,7 +232,7 @@
 // readOneHead waits for the first byte of a head and then reads and checks the whole
 // head, within the limits of its size and of the time that it takes.
 func (c *Conn) readOneHead(method string) (*http.Response, error) {
-	buffered, _ := c.reader.Peek(c.reader.Buffered()) // as many bytes can be read
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // It never fails for bytes that are buffered.
 	c.head.begin(buffered)
 	response, err := c.parseHead(method)
 	head := c.head.end()
--- a/io/http1/malformed.go
+++ b/io/http1/malformed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"iter"
 	"net/http"
 	"strings"
 
@@ -56,9 +57,7 @@
 // CloseIdleConnections closes the idle connections of the transport below, for
 // http.Client.
 func (t *CheckedTransport) CloseIdleConnections() {
-	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
+	CloseIdleConnections(t.Base)
 }
 
 // checkResponse reports a malformed head of a final response. Of folded lines net/http shows
@@ -82,28 +81,39 @@
 }
 
 // checkHead reports a line in the raw head of a response whose name is no token. A folded
-// line is one, too: it could hide the length of the body. Nor may there be an encoding that
-// the version of the response does not have, which net/http ignores. What follows the head
-// is not read.
+// line is one, too: it could hide the length of the body. It also reports an encoding that
+// the version of the response does not have, which net/http ignores.
 func checkHead(raw []byte, r *http.Response) error {
-	_, fields, _ := bytes.Cut(raw, []byte("\n"))
-	for line := range bytes.Lines(fields) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			return nil
-		}
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		if !httpguts.ValidHeaderFieldName(string(name)) {
-			return &FieldNameError{Name: string(name)}
+	for name := range fieldNames(raw) {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &FieldNameError{Name: name}
 		}
-		if !r.ProtoAtLeast(1, 1) && strings.EqualFold(string(name), "Transfer-Encoding") {
+		if !r.ProtoAtLeast(1, 1) && strings.EqualFold(name, "Transfer-Encoding") {
 			return &EncodingError{}
 		}
 	}
 	return nil
 }
 
-// trailerChecker is the body of a response whose trailers are checked at its end.
+// fieldNames returns what stands before the first colon of each line in the raw head of a
+// response, without the status line.
+func fieldNames(raw []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		_, fields, _ := bytes.Cut(raw, []byte("\n"))
+		for line := range bytes.Lines(fields) {
+			line = bytes.TrimRight(line, "\r\n")
+			if len(line) == 0 {
+				return // the head has ended
+			}
+			name, _, _ := bytes.Cut(line, []byte(":"))
+			if !yield(string(name)) {
+				return
+			}
+		}
+	}
+}
+
+// trailerChecker is the body of a response whose trailers are checked once they were read.
 type trailerChecker struct {
 	io.ReadCloser
 	response *http.Response
--- a/io/storepath/transport.go
+++ b/io/storepath/transport.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"hawthornspar/io/http1"
 )
 
 const (
@@ -93,9 +95,7 @@
 
 // CloseIdleConnections closes the idle connections of the direct path.
 func (t *Transport) CloseIdleConnections() {
-	if c, ok := t.direct.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
+	http1.CloseIdleConnections(t.direct)
 }
 
 // RoundTrip implements http.RoundTripper. A request that failed on the direct
--- a/standin/raw/server.go
+++ b/standin/raw/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"hawthornspar/timer"
 )
 
 // LongBytes is the length of a request that is more than the buffers of a connection hold,
@@ -34,6 +36,7 @@
 type Server struct {
 	Address  string // IP:port
 	listener net.Listener
+	clock    timer.Clock
 	response string
 	end      End
 }
@@ -44,7 +47,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "raw server")
 	}
-	s := &Server{Address: l.Addr().String(), listener: l, response: response, end: end}
+	s := &Server{Address: l.Addr().String(), listener: l, clock: timer.SystemClock{}, response: response, end: end}
 	go s.loop()
 	return s, nil
 }
@@ -84,11 +87,18 @@
 	_, _ = io.WriteString(c, c.server.response)
 	switch c.server.end {
 	case Reset:
-		time.Sleep(Pause)
+		c.pause()
 		_ = c.SetLinger(0)
 	case HalfClose:
-		time.Sleep(Pause)
+		c.pause()
 		_ = c.CloseWrite()
-		time.Sleep(Pause)
+		c.pause()
 	}
 }
+
+// pause waits for a Pause.
+func (c *connection) pause() {
+	t := c.server.clock.NewTicker(Pause)
+	defer t.Stop()
+	<-t.C
+}
