--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/io/http1"
 )
 
 const (
@@ -37,6 +38,10 @@
 	wasStale bool
 }
 
+func newFleetPoller(g *Gateway) *fleetPoller {
+	return &fleetPoller{gateway: g, client: &http.Client{Transport: &http1.CheckedTransport{Base: http.DefaultTransport}}}
+}
+
 func (p *fleetPoller) loop(ctx context.Context) {
 	next := time.Now().Add(jitter(fleetPollPause))
 	for sleep(ctx, fleetCheckPeriod) {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -147,7 +147,7 @@
 	go repayer.loop(background)
 	peers := &peerListener{gateway: g}
 	go peers.run(background)
-	fleetPoller := &fleetPoller{gateway: g, client: &http.Client{Transport: &http1.CheckedTransport{Base: http.DefaultTransport}}}
+	fleetPoller := newFleetPoller(g)
 	go fleetPoller.loop(background)
 	g.loads.Start(background)
 	sweeper := &sweeper{gateway: g}
--- a/io/http1/malformed_test.go
+++ b/io/http1/malformed_test.go
@@ -122,6 +122,30 @@
 	}
 })
 
+var _ = Describe("A malformed response to another request", func() {
+	const chunked = "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n"
+	for _, t := range []struct{ name, response string }{
+		{"with the status 000", "HTTP/1.1 000 None\r\nId: other\r\nContent-Length: 5\r\n\r\nother"},
+		{"with a blank in a field's name", "HTTP/1.1 200 OK\r\nId: other\r\nNa me: value\r\nContent-Length: 5\r\n\r\nother"},
+		{"with a blank before the colon of its length", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length : 5\r\n\r\nother"},
+		{"with a blank in a trailer's name", chunked + "Na me: value\r\n\r\n"},
+		{"with a control byte in a trailer's name", chunked + "Na\x01me: value\r\n\r\n"},
+	} {
+		// Guards against a body that is read by other framing than its endpoint's, so that what
+		// follows is not where it seems to be.
+		It("is not discarded to read on behind it: "+t.name, func() {
+			body, err := roundTrip(listen(0, t.response+ownResponse))
+			Expect(err).To(HaveOccurred(), "%q", body)
+		})
+	}
+
+	It("is discarded if it is sound", func() {
+		body, err := roundTrip(listen(0, chunked+"Name: value\r\n\r\n"+ownResponse))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("ok"))
+	})
+})
+
 var _ = Describe("A response of HTTP/1.0", func() {
 	for _, name := range []string{"Transfer-Encoding", "transfer-encoding"} {
 		// Guards against a body that has the framing of its chunks in it.
--- a/io/http1/reset_test.go
+++ b/io/http1/reset_test.go
@@ -51,6 +51,8 @@
 		{"in chunks, cut in its trailers", ownHead + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nName: value\r\n"},
 		{"after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + ownHead + "\r\npart"},
 		{"in its head", ownHead},
+		{"in the body of a discarded response", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n"},
+		{"after a discarded response", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother" + ownHead + "\r\npart"},
 	} {
 		It("is broken if its connection is reset: "+t.name, func() {
 			s := listenRaw(t.response, raw.Reset)
