gateway, endpoints: logs tell by how old a registry a request was sent, and when an endpoint stays

The logs could not tell apart the hypotheses in docs/incidents/leaving-endpoints.md: sends say the age of the registry by which the endpoint was chosen, changes the registry's version, and a leaving endpoint that is ready again is a change of its own.

--- a/core/endpoints/freshness.go
+++ b/core/endpoints/freshness.go
@@ -13,9 +13,12 @@
 // time.
 func (f *Freshness) Check(sent time.Time) { f.checkedAt = later(f.checkedAt, sent) }
 
+// Age returns the time since the last comparison.
+func (f Freshness) Age(now time.Time) time.Duration { return now.Sub(f.checkedAt) }
+
 // Covers reports whether a request that needs sendDelay to reach its endpoint
 // arrives before any endpoint whose leaving the VM has not learnt can be gone.
 // notice is how long endpoints go on serving after they have announced that.
 func (f Freshness) Covers(sendDelay, notice time.Duration, now time.Time) bool {
-	return now.Sub(f.checkedAt)+sendDelay < notice
+	return f.Age(now)+sendDelay < notice
 }
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -39,6 +39,8 @@
 	RunningBefore   int   // this VM's requests at the endpoint before the attempt
 	PrefillTokens   int64 // prompt tokens that the endpoint is expected to prefill
 	RegistryVersion int64 // version of the registry by which the endpoint was chosen
+	// RegistryAge is the time since that registry was confirmed.
+	RegistryAge time.Duration
 	Notices         Notices
 	Estimate        Estimate // of the time to the first chunk, by its parts
 	PredictedMs     float64  // the estimate's total
--- a/core/endpoints/staleness.go
+++ b/core/endpoints/staleness.go
@@ -50,7 +50,7 @@
 
 // age returns the time since both the registry and the evacuations were confirmed.
 func (k Knowledge) age(now time.Time) time.Duration {
-	return max(now.Sub(k.Registry.checkedAt), now.Sub(k.Evacuations.checkedAt))
+	return max(k.Registry.Age(now), k.Evacuations.Age(now))
 }
 
 // NeedsAnswer reports whether the VM is to ask another VM for what that knows.
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -53,6 +53,8 @@
 	// Reregistered: the endpoint registered again after its registration was
 	// removed or an attempt was misdirected.
 	Reregistered
+	// DrainEnded: the endpoint accepts new requests again.
+	DrainEnded
 )
 
 // Put adds or updates a registration and returns its effect.
@@ -71,6 +73,9 @@
 	if r.Draining && !e.Draining {
 		change = DrainStarted
 	}
+	if e.Draining && !r.Draining {
+		change = DrainEnded
+	}
 	if !e.expiresAt.IsZero() {
 		change = Reregistered
 	}
@@ -200,5 +205,5 @@
 
 // String implements fmt.Stringer.
 func (c Change) String() string {
-	return [...]string{"unchanged", "learnt", "leaving", "reborn", "returned"}[c]
+	return [...]string{"unchanged", "learnt", "leaving", "reborn", "returned", "stays"}[c]
 }
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -98,7 +98,7 @@
 	if attempt == nil {
 		return nil
 	}
-	attempt.RegistryVersion = s.registryVersion
+	attempt.RegistryVersion, attempt.RegistryAge = s.registryVersion, s.knowledge.Registry.Age(now)
 	return attempt
 }
 
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -192,7 +192,7 @@
 			g.confirmCrash(r.ID, r.Born)
 		}
 		if change != endpoints.Unchanged {
-			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String())
+			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String(), "registry", version)
 		}
 	}
 	for id, remaining := range c.Expiring {
@@ -203,7 +203,7 @@
 			g.confirmCrash(id, 0)
 		}
 		if s.endpoints.Expire(id, expiresAt) {
-			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(expiresAt))
+			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(expiresAt), "registry", version, "registryAge", s.knowledge.Registry.Age(time.Now()))
 		}
 	}
 	g.sweep(time.Now())
