endpoints, gateway: a grace of missing endpoints only after an outage, and from when they may have left

Change: core/endpoints.Outage decides. No grace unless requests have failed for a second or more. It ends 2.8 s after the last failed request was sent, whenever the removal is learnt. If a response has shown the registration since, the endpoint left after that, and 1.8 s from there are within its notice. A lost history (410) is a response. Another VM's view gives a grace by its own list only.

Why it works: the end of the grace no longer depends on when the VM learns of the removal.

--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -218,7 +218,7 @@
 	}
 	if v.Endpoints != nil && v.RegistryVersion > g.state.versions().Registry {
 		g.log.Info("registry from a VM", "from", from, "version", v.RegistryVersion, "endpoints", len(v.Endpoints))
-		g.replaceRegistry(endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, time.Now().Add(expiryGrace))
+		g.replaceRegistry(endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, time.Now())
 	}
 	g.applyCrashes(v.Quarantines)
 	if v.Authority != nil {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -181,13 +181,12 @@
 
 // watchers returns a watcher for each table of the store that VMs follow.
 func (g *Gateway) watchers() []*watcher {
-	registry := &dependency{name: "registry"}
 	return []*watcher{
 		{
 			gateway: g, table: &operationsTable{g}, timeout: watchTimeout, store: &dependency{name: "configuration"},
 			onAttempt: func(err error) { g.configurationFailing.Store(err != nil) },
 		},
-		{gateway: g, table: &registryTable{g, registry}, timeout: watchTimeout, store: registry},
+		{gateway: g, table: &registryTable{gateway: g}, timeout: watchTimeout, store: &dependency{name: "registry"}},
 		{gateway: g, table: &crashTable{g}, timeout: crashWatchTimeout, store: &dependency{name: "crashes"}},
 	}
 }
--- a/io/gateway/knowledge_test.go
+++ b/io/gateway/knowledge_test.go
@@ -37,11 +37,11 @@
 		learn func(*Gateway)
 	}{
 		{"a watch of the store", func(g *Gateway) {
-			_, _, err := (&registryTable{g, &dependency{}}).watch(context.Background(), 1)
+			_, _, err := (&registryTable{gateway: g}).watch(context.Background(), 1)
 			Expect(err).NotTo(HaveOccurred())
 		}},
 		{"a read of the store", func(g *Gateway) {
-			_, err := (&registryTable{g, &dependency{}}).read(context.Background())
+			_, err := (&registryTable{gateway: g}).read(context.Background())
 			Expect(err).NotTo(HaveOccurred())
 		}},
 		{"another VM", func(g *Gateway) {
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -10,48 +10,55 @@
 // registryTable keeps the endpoints up to date.
 type registryTable struct {
 	gateway *Gateway
-	store   *dependency
+	outage  endpoints.Outage // of the store, as seen by the requests for the registry
+	// confirmed is the time up to which a response of the store shows all changes.
+	confirmed time.Time
 }
 
 func (r *registryTable) read(ctx context.Context) (int64, error) {
 	sent := time.Now()
 	change, version, err := r.gateway.store.Registry(ctx)
-	r.gateway.state.recordStoreRequest(sent, err == nil)
+	r.recordRequest(sent, err)
 	if err != nil {
 		return 0, err
 	}
-	r.gateway.replaceRegistry(change, version, r.expiryTime())
-	r.gateway.state.recordRegistryCheck(sent)
+	r.gateway.replaceRegistry(change, version, r.outage.GraceEnd(r.confirmed, time.Now()))
+	r.confirm(sent)
 	return version, nil
 }
 
 func (r *registryTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
 	sent := time.Now()
 	change, next, err := r.gateway.store.WatchRegistry(ctx, version, watchHold)
-	r.gateway.state.recordStoreRequest(sent, err == nil)
+	r.recordRequest(sent, err)
 	if err != nil {
 		return 0, 0, err
 	}
 	// It depends on when the response came, and not on how long its changes take.
 	confirmed := confirmedAt(sent, !change.Empty())
-	r.gateway.changeRegistry(change, next, r.expiryTime())
-	r.gateway.state.recordRegistryCheck(confirmed)
+	r.gateway.changeRegistry(change, next, r.outage.GraceEnd(r.confirmed, time.Now()))
+	r.confirm(confirmed)
 	return next, registryPause, nil
 }
 
-// expiryTime returns the time from which an entry that is missing now counts as
-// gone.
-func (r *registryTable) expiryTime() time.Time {
-	now := time.Now()
-	if r.store.lost || now.Sub(r.store.regainedAt) < expiryGrace {
-		return now.Add(expiryGrace)
-	}
-	return now
+// recordRequest records the result of a request that was sent at the given time. A store that
+// has lost its history has responded, though not with the registry.
+func (r *registryTable) recordRequest(sent time.Time, err error) {
+	g := r.gateway
+	g.state.recordStoreRequest(sent, err == nil)
+	r.outage.Record(sent, err == nil || g.store.HistoryLost(err))
+}
+
+// confirm records that a response of the store, which has been applied, shows all changes up to
+// a time.
+func (r *registryTable) confirm(at time.Time) {
+	r.confirmed = at
+	r.gateway.state.recordRegistryCheck(at)
 }
 
-// replaceRegistry applies the complete registry as of a version of the store;
-// endpoints that it lacks expire.
-func (g *Gateway) replaceRegistry(c endpoints.RegistryChange, version int64, expiresAt time.Time) {
+// replaceRegistry applies the complete registry as of a version of the store.
+// Endpoints that it lacks are used until graceEnd.
+func (g *Gateway) replaceRegistry(c endpoints.RegistryChange, version int64, graceEnd time.Time) {
 	g.state.mu.Lock()
 	present := map[string]bool{}
 	for _, r := range c.Put {
@@ -64,12 +71,13 @@
 	}
 	g.state.registryKnown = true
 	g.state.mu.Unlock()
-	g.changeRegistry(c, version, expiresAt)
+	g.changeRegistry(c, version, graceEnd)
 	g.state.setRegistryComplete()
 }
 
-// changeRegistry applies changes of the registry.
-func (g *Gateway) changeRegistry(c endpoints.RegistryChange, version int64, expiresAt time.Time) {
+// changeRegistry applies changes of the registry. Endpoints that are removed by it are used
+// until graceEnd.
+func (g *Gateway) changeRegistry(c endpoints.RegistryChange, version int64, graceEnd time.Time) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,11 +98,11 @@
 		s.endpoints.Expire(id, time.Now().Add(remaining))
 	}
 	for _, id := range append(c.Removed, c.Unreadable...) {
-		if e := s.endpoints.Get(id); e != nil && !e.Draining && !expiresAt.After(time.Now()) {
+		if e := s.endpoints.Get(id); e != nil && !e.Draining && !graceEnd.After(time.Now()) {
 			g.confirmCrash(id, 0)
 		}
-		if s.endpoints.Expire(id, expiresAt) {
-			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(expiresAt), "registry", version, "registryAge", s.knowledge.Registry.Age(time.Now()))
+		if s.endpoints.Expire(id, graceEnd) {
+			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(graceEnd), "registry", version, "registryAge", s.knowledge.Registry.Age(time.Now()))
 		}
 	}
 	g.sweep(time.Now())
@@ -123,7 +131,7 @@
 // connections that are too old.
 type sweeper struct{ gateway *Gateway }
 
-// sweepPeriod is short compared with expiryGrace.
+// sweepPeriod is short compared with the grace of missing endpoints.
 const sweepPeriod = 500 * time.Millisecond
 
 func (s *sweeper) loop(ctx context.Context) {
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -21,9 +21,6 @@
 	registryPause = 400 * time.Millisecond
 	// failurePause follows a failed request.
 	failurePause = 250 * time.Millisecond
-	// expiryGrace is how long endpoints whose entries vanished around an outage
-	// of the store have to register again.
-	expiryGrace = 1800 * time.Millisecond
 )
 
 // sleep waits for a duration. It returns false when the context ends first.
@@ -46,10 +43,9 @@
 // dependency logs when the store becomes unreachable and reachable again, as
 // seen by one syncer.
 type dependency struct {
-	name       string
-	lost       bool
-	lostAt     time.Time
-	regainedAt time.Time
+	name   string
+	lost   bool
+	lostAt time.Time
 }
 
 // record records the result of a request to the store.
@@ -59,7 +55,7 @@
 		g.log.Info("dependency lost", "dependency", d.name, "error", err.Error())
 	}
 	if err == nil && d.lost {
-		d.lost, d.regainedAt = false, time.Now()
+		d.lost = false
 		g.log.Info("dependency regained", "dependency", d.name, "after", time.Since(d.lostAt))
 	}
 }
