endpoints: another VM's grace does not bring back an endpoint that has left

What callers saw: requests were sent to an endpoint by a VM that the store itself had told that it was gone.

Change: Table.RegisterExpiring takes over an endpoint in its grace only where it is not known to have left, and never for longer.

--- a/core/endpoints/cold.go
+++ b/core/endpoints/cold.go
@@ -6,15 +6,9 @@
 	"hawthornspar/core/coldstart"
 )
 
-const (
-	// registryDelay is how long the registry may take to report that an endpoint has
-	// restarted after its connections broke.
-	registryDelay = 2500 * time.Millisecond
-	// departureMemory is how long a dropped endpoint is remembered, so that one which lost
-	// its registration only, as in an outage of the store, does not count as started when
-	// it returns. It covers several lost heartbeats and an outage.
-	departureMemory = 10 * time.Minute
-)
+// registryDelay is how long the registry may take to report that an endpoint has
+// restarted after its connections broke.
+const registryDelay = 2500 * time.Millisecond
 
 // coldness is what a VM knows of the times at which an endpoint is cold, and what the VM
 // has sent to it.
@@ -27,13 +21,6 @@
 	owned       bool // whether the VM is an owner by that check
 }
 
-// departure is what is remembered of a dropped endpoint.
-type departure struct {
-	at   time.Time // zero until DropExpired is called next
-	born int64
-	cold coldness
-}
-
 // coldRules are the rules for cold endpoints in force, by service. Services whose endpoints
 // are never cold are missing.
 type coldRules struct {
@@ -77,34 +64,6 @@
 	return change
 }
 
-// noteStart notes that an endpoint has started, unless it is only registered again. Its
-// earlier incarnation's sends still count.
-func (t *Table) noteStart(e *Endpoint, change Change, now time.Time) {
-	d, known := t.departed[e.ID]
-	delete(t.departed, e.ID)
-	if known && change == Added && d.born == e.Born && e.Born != 0 {
-		e.cold = d.cold
-		return
-	}
-	e.cold.sends = d.cold.sends
-	if t.complete {
-		e.cold.startedAt = now
-	}
-}
-
-// forgetDepartures drops what is remembered for longer than departureMemory.
-func (t *Table) forgetDepartures(now time.Time) {
-	for id, d := range t.departed {
-		if d.at.IsZero() {
-			d.at = now
-			t.departed[id] = d
-		}
-		if now.Sub(d.at) > departureMemory {
-			delete(t.departed, id)
-		}
-	}
-}
-
 // RecordCold records that the endpoint states to be cold for a time. It reports whether that
 // is later than what it stated before.
 func (e *Endpoint) RecordCold(d time.Duration, now time.Time) bool {
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -86,7 +86,8 @@
 		g.log.Info("registration unreadable", "endpoint", id)
 	}
 	for _, r := range c.Put {
-		change := g.register(r)
+		rest, expiring := c.Expiring[r.ID]
+		change := g.register(r, rest, expiring)
 		if change == endpoints.Restarted {
 			g.confirmCrash(r.ID, r.Born)
 		}
@@ -94,9 +95,6 @@
 			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String(), "registry", version)
 		}
 	}
-	for id, remaining := range c.Expiring {
-		s.endpoints.Expire(id, time.Now().Add(remaining))
-	}
 	for _, id := range append(c.Removed, c.Unreadable...) {
 		if e := s.endpoints.Get(id); e != nil && !e.Draining && !graceEnd.After(time.Now()) {
 			g.confirmCrash(id, 0)
@@ -108,9 +106,13 @@
 	g.sweep(time.Now())
 }
 
-// register applies a registration. The caller holds the state's lock.
-func (g *Gateway) register(r endpoints.Registration) endpoints.Change {
+// register applies a registration, or one that another VM uses for the rest of a grace period
+// only. The caller holds the state's lock.
+func (g *Gateway) register(r endpoints.Registration, rest time.Duration, expiring bool) endpoints.Change {
 	t, now := g.state.endpoints, time.Now()
+	if expiring {
+		return t.RegisterExpiring(r, rest, now)
+	}
 	before := t.ColdLeft(r.ID, now)
 	change := t.Register(r, now)
 	if left := t.ColdLeft(r.ID, now); before == 0 && left > 0 {
