endpoints: what an endpoint has said outlasts its registration

What callers could see: requests to an endpoint that had said in a response that it leaves, once its registration had vanished and returned.

Change: the departure, which remembers cold times for the same reason, keeps the word too, for the same incarnation.

Evidence: core/endpoints/notice_test.go, both specs "outlasts a registration" failed before.

--- a/core/endpoints/departure.go
+++ b/core/endpoints/departure.go
@@ -3,15 +3,16 @@
 import "time"
 
 // departureMemory is how long a dropped endpoint is remembered. One that has lost only its
-// registration, as in an outage of the store, does not count as started when it returns. It
-// covers several lost heartbeats and an outage.
+// registration, as in an outage of the store, is neither started when it returns, nor does it
+// stay if it has said that it leaves. It covers several lost heartbeats and an outage.
 const departureMemory = 10 * time.Minute
 
 // departure is what is remembered of a dropped endpoint.
 type departure struct {
-	at   time.Time // zero until DropExpired is called next
-	born int64
-	cold coldness
+	at           time.Time // zero until DropExpired is called next
+	born         int64
+	cold         coldness
+	leavingSince time.Time
 }
 
 // noteStart notes that an endpoint has started, unless it is only registered again. Its
@@ -20,7 +21,7 @@
 	d, known := t.departed[e.ID]
 	delete(t.departed, e.ID)
 	if known && change == Added && d.born == e.Born && e.Born != 0 {
-		e.cold = d.cold
+		e.cold, e.leavingSince = d.cold, d.leavingSince
 		return
 	}
 	e.cold.sends = d.cold.sends
@@ -29,6 +30,16 @@
 	}
 }
 
+// RecordLeaving records that an endpoint that was chosen earlier says it is leaving, also if
+// it was dropped meanwhile. It reports whether that was unknown.
+func (t *Table) RecordLeaving(e *Endpoint, now time.Time) bool {
+	if d, ok := t.departed[e.ID]; ok && d.born == e.Born {
+		d.leavingSince = now
+		t.departed[e.ID] = d
+	}
+	return t.Current(e).RecordLeaving(now)
+}
+
 // RegisterExpiring applies a registration that another VM knows to be missing, and whose
 // endpoint that VM uses for the rest of a grace period. It neither takes back an endpoint that
 // is known to have left nor extends its grace period.
--- a/core/endpoints/notice_test.go
+++ b/core/endpoints/notice_test.go
@@ -33,6 +33,31 @@
 		Expect(t.Accepts(t.Get("e0"), testStart)).To(BeFalse())
 	})
 
+	// Guards against DRAIN: a registration that vanishes and returns makes a VM forget what the
+	// endpoint itself has said.
+	for _, when := range []string{"before", "after"} {
+		It("outlasts a registration that vanishes and returns, said "+when+" it vanished", func() {
+			t := tableOf(2)
+			r := registration(t, "e0")
+			r.Born = 7
+			t.Register(r, testStart)
+			e := t.Get("e0")
+			if when == "before" {
+				t.RecordLeaving(e, testStart)
+			}
+			t.Expire("e0", testStart)
+			Expect(t.DropExpired(testStart)).To(ConsistOf("e0"))
+			if when == "after" {
+				t.RecordLeaving(e, testStart)
+			}
+			t.Register(r, testStart)
+			Expect(chosen(t, testStart)).To(Equal(map[string]int{"e1": 100}))
+			r.Born++
+			t.Register(r, testStart)
+			Expect(chosen(t, testStart)).To(HaveKey("e0"))
+		})
+	}
+
 	// Guards against crashes that count for nothing because the endpoint is paused.
 	It("distinguishes an endpoint that has left from one that wants nothing for a time", func() {
 		t := tableOf(2)
--- a/core/endpoints/table.go
+++ b/core/endpoints/table.go
@@ -118,7 +118,7 @@
 		return
 	}
 	delete(t.byID, id)
-	t.departed[id] = departure{born: e.Born, cold: e.cold}
+	t.departed[id] = departure{born: e.Born, cold: e.cold, leavingSince: e.leavingSince}
 	list := t.byService[e.Service]
 	kept := make([]*Endpoint, 0, len(list))
 	for _, o := range list {
--- a/io/gateway/notice.go
+++ b/io/gateway/notice.go
@@ -51,7 +51,7 @@
 func (s *state) recordLeaving(e *endpoints.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return e.RecordLeaving(time.Now())
+	return s.endpoints.RecordLeaving(e, time.Now())
 }
 
 // recordPause records for how long an endpoint wants no requests, and reports whether
