gateway: a response about the registry that was overtaken is discarded

What callers could see: requests to an endpoint that the VM knew to be leaving, until its next watch, and from VMs that asked this one for its view.

A response of the store that was on its way while a newer view was taken over was applied, and the registry kept the newer version.

Change: updates carry their version and the one that the VM had when it asked, and are applied whole under one lock or not at all. Only a complete read may be older, if nothing has changed since it was sent: the store has gone back.

--- a/io/gateway/cold.go
+++ b/io/gateway/cold.go
@@ -76,13 +76,6 @@
 	s.endpoints.SetColdRules(tolerances, m)
 }
 
-// setRegistryComplete records that a complete registry was applied.
-func (s *state) setRegistryComplete() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endpoints.SetComplete()
-}
-
 // coldEndpoints returns the number of cold endpoints.
 func (s *state) coldEndpoints() int64 {
 	s.mu.Lock()
--- a/io/gateway/cold_test.go
+++ b/io/gateway/cold_test.go
@@ -23,7 +23,7 @@
 		g.configure(&route.Document{Version: 1, Services: []route.Service{{Name: "models", Cold: coldstart.Tolerance{Start: 3 * time.Second, PerSecond: 16}}}})
 		g.state.vm.StartedAt = time.Now().Add(-time.Minute)
 		g.updateMembers([]home.VM{{Name: "vm"}}, sourceStore)
-		g.replaceRegistry(endpoints.RegistryChange{Put: []endpoints.Registration{{ID: "e", Service: "models", Domain: "north", Address: "10.0.0.1:80"}}}, 1, time.Now())
+		g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{{ID: "e", Service: "models", Domain: "north", Address: "10.0.0.1:80"}}}, version: 1, complete: true})
 		g.state.recordRegistryCheck(time.Now())
 		g.state.recordEvacuationCheck(time.Now())
 		a = g.state.startAttempt(endpoints.Request{Service: "models"}, nil)
--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -216,9 +216,9 @@
 		g.log.Info("configuration from a VM", "from", from, "version", v.Configuration.Version)
 		g.configure(v.Configuration)
 	}
-	if v.Endpoints != nil && v.RegistryVersion > g.state.versions().Registry {
+	if known := g.state.versions().Registry; v.Endpoints != nil && v.RegistryVersion > known {
 		g.log.Info("registry from a VM", "from", from, "version", v.RegistryVersion, "endpoints", len(v.Endpoints))
-		g.replaceRegistry(endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, time.Now())
+		g.updateRegistry(registryUpdate{endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, known, true, time.Now()})
 	}
 	g.applyCrashes(v.Quarantines)
 	if v.Authority != nil {
--- a/io/gateway/knowledge_test.go
+++ b/io/gateway/knowledge_test.go
@@ -52,7 +52,7 @@
 		It("does not count its registry as confirmed before it has the changes: "+t.name, func() {
 			g := newTestGateway(Settings{Name: "vm", DrainNotice: notice})
 			g.store = &leavingStore{change: change}
-			g.changeRegistry(endpoints.RegistryChange{Put: []endpoints.Registration{there}}, 1, time.Now())
+			g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{there}}, version: 1})
 			g.state.recordEvacuationCheck(time.Now())
 			g.state.recordVMRequest(time.Now(), nil)
 			g.state.recordRegistryCheck(time.Now().Add(-4 * time.Second))
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hawthornspar/core/endpoints"
@@ -16,19 +17,19 @@
 }
 
 func (r *registryTable) read(ctx context.Context) (int64, error) {
-	sent := time.Now()
+	sent, known := time.Now(), r.gateway.state.versions().Registry
 	change, version, err := r.gateway.store.Registry(ctx)
 	r.recordRequest(sent, err)
 	if err != nil {
 		return 0, err
 	}
-	r.gateway.replaceRegistry(change, version, r.outage.GraceEnd(r.confirmed, time.Now()))
+	r.gateway.updateRegistry(registryUpdate{change, version, known, true, r.outage.GraceEnd(r.confirmed, time.Now())})
 	r.confirm(sent)
 	return version, nil
 }
 
 func (r *registryTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
-	sent := time.Now()
+	sent, known := time.Now(), r.gateway.state.versions().Registry
 	change, next, err := r.gateway.store.WatchRegistry(ctx, version, watchHold)
 	r.recordRequest(sent, err)
 	if err != nil {
@@ -36,7 +37,7 @@
 	}
 	// It depends on when the response came, and not on how long its changes take.
 	confirmed := confirmedAt(sent, !change.Empty())
-	r.gateway.changeRegistry(change, next, r.outage.GraceEnd(r.confirmed, time.Now()))
+	r.gateway.updateRegistry(registryUpdate{change, next, known, false, r.outage.GraceEnd(r.confirmed, time.Now())})
 	r.confirm(confirmed)
 	return next, registryPause, nil
 }
@@ -56,51 +57,76 @@
 	r.gateway.state.recordRegistryCheck(at)
 }
 
-// replaceRegistry applies the complete registry as of a version of the store.
-// Endpoints that it lacks are used until graceEnd.
-func (g *Gateway) replaceRegistry(c endpoints.RegistryChange, version int64, graceEnd time.Time) {
-	g.state.mu.Lock()
-	present := map[string]bool{}
-	for _, r := range c.Put {
-		present[r.ID] = true
-	}
-	for _, id := range g.state.endpoints.IDs() {
-		if !present[id] {
-			c.Removed = append(c.Removed, id)
-		}
-	}
-	g.state.registryKnown = true
-	g.state.mu.Unlock()
-	g.changeRegistry(c, version, graceEnd)
-	g.state.setRegistryComplete()
+// registryUpdate is what the store or another VM says of the registry.
+type registryUpdate struct {
+	endpoints.RegistryChange
+	version  int64     // of the store, that the registry then corresponds to
+	known    int64     // that the VM had when it asked
+	complete bool      // whether all endpoints are listed, and others are missing
+	graceEnd time.Time // until which missing endpoints are used
 }
 
-// changeRegistry applies changes of the registry. Endpoints that are removed by it are used
-// until graceEnd.
-func (g *Gateway) changeRegistry(c endpoints.RegistryChange, version int64, graceEnd time.Time) {
+// updateRegistry applies what the store or another VM says of the registry, unless something
+// newer has overtaken it.
+func (g *Gateway) updateRegistry(u registryUpdate) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.registryVersion = max(s.registryVersion, version)
-	for _, id := range c.Unreadable {
+	if s.overtaken(u) {
+		g.log.Info("registry overtaken", "version", u.version, "known", s.registryVersion)
+		return
+	}
+	if u.complete {
+		u.Removed = append(u.Removed, s.unlisted(u.Put)...)
+		s.registryKnown = true
+	}
+	s.registryVersion = u.version
+	g.changeEndpoints(u)
+	if u.complete {
+		s.endpoints.SetComplete()
+	}
+}
+
+// overtaken reports whether the VM has learnt a newer registry since it asked for an update. A
+// store that has gone back to an earlier version lists an older one, which is the newest all
+// the same. The caller holds the lock.
+func (s *state) overtaken(u registryUpdate) bool {
+	hasGoneBack := u.complete && u.known == s.registryVersion
+	return u.version < s.registryVersion && !hasGoneBack
+}
+
+// unlisted returns the ids of the known endpoints that are not listed. The caller holds the
+// lock.
+func (s *state) unlisted(list []endpoints.Registration) []string {
+	listed := map[string]bool{}
+	for _, r := range list {
+		listed[r.ID] = true
+	}
+	return slices.DeleteFunc(s.endpoints.IDs(), func(id string) bool { return listed[id] })
+}
+
+// changeEndpoints applies an update to the known endpoints. The caller holds the state's lock.
+func (g *Gateway) changeEndpoints(u registryUpdate) {
+	t := g.state.endpoints
+	for _, id := range u.Unreadable {
 		g.log.Info("registration unreadable", "endpoint", id)
 	}
-	for _, r := range c.Put {
-		rest, expiring := c.Expiring[r.ID]
+	for _, r := range u.Put {
+		rest, expiring := u.Expiring[r.ID]
 		change := g.register(r, rest, expiring)
 		if change == endpoints.Restarted {
 			g.confirmCrash(r.ID, r.Born)
 		}
 		if change != endpoints.Unchanged {
-			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String(), "registry", version)
+			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String(), "registry", u.version)
 		}
 	}
-	for _, id := range append(c.Removed, c.Unreadable...) {
-		if e := s.endpoints.Get(id); e != nil && !e.Draining && !graceEnd.After(time.Now()) {
+	for _, id := range append(u.Removed, u.Unreadable...) {
+		if e := t.Get(id); e != nil && !e.Draining && !u.graceEnd.After(time.Now()) {
 			g.confirmCrash(id, 0)
 		}
-		if s.endpoints.Expire(id, graceEnd) {
-			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(graceEnd), "registry", version, "registryAge", s.knowledge.Registry.Age(time.Now()))
+		if t.Expire(id, u.graceEnd) {
+			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(u.graceEnd), "registry", u.version, "registryAge", g.state.knowledge.Registry.Age(time.Now()))
 		}
 	}
 	g.sweep(time.Now())
