gateway: the views of seeds confirm a registry once they are in force

What callers could see: a VM that starts while the store is away could send by the registry of one seed before it has the newer one of another.

Evidence: io/gateway/knowledge_test.go, "the seeds of a VM that starts" failed before.

--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -134,7 +134,6 @@
 func (g *Gateway) adoptNewest(views []receivedView, sent time.Time) {
 	for _, v := range views {
 		g.adoptEvacuations(v.fleetView, v.from)
-		g.state.recordView(v.fleetView, sent)
 	}
 	slices.SortFunc(views, func(a, b receivedView) int {
 		return cmp.Or(cmp.Compare(b.configurationVersion(), a.configurationVersion()), cmp.Compare(b.RegistryVersion, a.RegistryVersion))
@@ -142,6 +141,9 @@
 	for _, v := range views {
 		g.adopt(v.fleetView, v.from)
 	}
+	for _, v := range views {
+		g.state.recordView(v.fleetView, sent)
+	}
 }
 
 // configurationVersion returns the version of the configuration in the view; 0 for
--- a/io/gateway/knowledge_test.go
+++ b/io/gateway/knowledge_test.go
@@ -47,6 +47,9 @@
 		{"another VM", func(g *Gateway) {
 			g.adoptAndConfirm(fleetView{VM: "other", RegistryVersion: 2, Endpoints: change.Put}, "other", time.Now())
 		}},
+		{"the seeds of a VM that starts", func(g *Gateway) {
+			g.adoptNewest([]receivedView{{fleetView{VM: "other", RegistryVersion: 2, Endpoints: change.Put}, "seed"}}, time.Now())
+		}},
 	} {
 		// Guards against requests by the old registry between its confirmation and its changes.
 		It("does not count its registry as confirmed before it has the changes: "+t.name, func() {
