endpoints: a registry that nobody has confirmed is stale before the shortest notice ends

What callers could see: a request that was sent just within the notice of two seconds reached its endpoint just after it.

Cause: minUnconfirmedTime was the shortest notice itself, and left no time for the way.

Change: 1.8 s.

Evidence: core/endpoints/staleness_test.go, "is stale before endpoints with the shortest notice may be gone" failed before.

--- a/core/endpoints/staleness.go
+++ b/core/endpoints/staleness.go
@@ -9,9 +9,10 @@
 	// noticeMargin is how long before endpoints stop serving, after they have announced
 	// that they leave, a VM stops sending by a registry that nobody has confirmed since.
 	noticeMargin = 500 * time.Millisecond
-	// minUnconfirmedTime is the least time for which a VM sends by what nobody has
-	// confirmed: one lost response of the store takes that long.
-	minUnconfirmedTime = 2 * time.Second
+	// minUnconfirmedTime is the least time for which a VM sends by what nobody has confirmed:
+	// one lost response of the store takes about as long. It is below the shortest notice of
+	// the users' sites, two seconds, by the time until a request reaches its endpoint.
+	minUnconfirmedTime = 1800 * time.Millisecond
 )
 
 // Source is what a VM knows of a source of the registry: the store, or the other VMs.
--- a/core/endpoints/staleness_test.go
+++ b/core/endpoints/staleness_test.go
@@ -41,6 +41,15 @@
 		})
 	}
 
+	// Guards against DRAIN: requests that are sent within the shortest notice of the users'
+	// sites, and reach their endpoint after it.
+	It("is stale before endpoints with the shortest notice may be gone", func() {
+		const shortest = 2 * time.Second
+		k := confirmed(-shortest + 100*time.Millisecond)
+		k.Store.Record(testStart, true)
+		Expect(k.Stale(shortest, testStart)).To(BeTrue())
+	})
+
 	It("is stale by the evacuations alone", func() {
 		k := confirmed(-9 * time.Second)
 		k.Registry.Check(testStart)
