--- a/core/endpoints/departure.go
+++ b/core/endpoints/departure.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// departureMemory is how long a dropped endpoint is remembered. One that has lost only its
-// registration, as in an outage of the store, is neither started when it returns, nor does it
-// stay if it has said that it leaves. It covers several lost heartbeats and an outage.
+// departureMemory is how long a dropped endpoint is remembered, as it may have lost only its
+// registration, in an outage of the store. When it returns, it does not count as started, and
+// is still leaving if it has said so. The time covers several lost heartbeats and an outage.
 const departureMemory = 10 * time.Minute
 
 // departure is what is remembered of a dropped endpoint.
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -36,23 +36,22 @@
 // Attempt is one request of this VM, sent to one endpoint.
 type Attempt struct {
 	Endpoint        *Endpoint
-	RunningBefore   int   // this VM's requests at the endpoint before the attempt
-	PrefillTokens   int64 // prompt tokens that the endpoint is expected to prefill
-	RegistryVersion int64 // version of the registry by which the endpoint was chosen
-	// RegistryAge is the time since that registry was confirmed.
-	RegistryAge  time.Duration
-	Notices      Notices
-	Estimate     Estimate // of the time to the first chunk, by its parts
-	PredictedMs  float64  // the estimate's total
-	ActualMs     float64  // time to the first chunk; 0 until it came
-	Cost         Cost     // by which the endpoint was chosen; zero if the load of other VMs was not known
-	heldTokens   int64
-	fleetKnown   bool    // whether the load of other VMs was known at the start
-	tokensAhead  float64 // of all VMs, the request's own included
-	speed        float64 // of the endpoint at the start
-	startedAt    time.Time
-	prefillEnded bool
-	ended        bool
+	RunningBefore   int           // this VM's requests at the endpoint before the attempt
+	PrefillTokens   int64         // prompt tokens that the endpoint is expected to prefill
+	RegistryVersion int64         // version of the registry by which the endpoint was chosen
+	RegistryAge     time.Duration // since that registry was confirmed
+	Notices         Notices
+	Estimate        Estimate // of the time to the first chunk, by its parts
+	PredictedMs     float64  // the estimate's total
+	ActualMs        float64  // time to the first chunk; 0 until it came
+	Cost            Cost     // by which the endpoint was chosen; zero if the load of other VMs was not known
+	heldTokens      int64
+	fleetKnown      bool    // whether the load of other VMs was known at the start
+	tokensAhead     float64 // of all VMs, the request's own included
+	speed           float64 // of the endpoint at the start
+	startedAt       time.Time
+	prefillEnded    bool
+	ended           bool
 }
 
 // StartAttempt starts an attempt and adds it to the endpoint's load.
--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -220,7 +220,8 @@
 	}
 	if known := g.state.versions().Registry; v.Endpoints != nil && v.RegistryVersion > known {
 		g.log.Info("registry from a VM", "from", from, "version", v.RegistryVersion, "endpoints", len(v.Endpoints))
-		g.updateRegistry(registryUpdate{endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}, v.RegistryVersion, known, true, time.Now()})
+		list := endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}
+		g.updateRegistry(registryUpdate{RegistryChange: list, version: v.RegistryVersion, known: known, complete: true, graceEnd: time.Now()})
 	}
 	g.applyCrashes(v.Quarantines)
 	if v.Authority != nil {
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return 0, err
 	}
-	r.gateway.updateRegistry(registryUpdate{change, version, known, true, r.outage.GraceEnd(r.confirmed, time.Now())})
+	r.gateway.updateRegistry(registryUpdate{RegistryChange: change, version: version, known: known, complete: true, graceEnd: r.graceEnd()})
 	r.confirm(sent)
 	return version, nil
 }
@@ -37,7 +37,7 @@
 	}
 	// It depends on when the response came, and not on how long its changes take.
 	confirmed := confirmedAt(sent, !change.Empty())
-	r.gateway.updateRegistry(registryUpdate{change, next, known, false, r.outage.GraceEnd(r.confirmed, time.Now())})
+	r.gateway.updateRegistry(registryUpdate{RegistryChange: change, version: next, known: known, graceEnd: r.graceEnd()})
 	r.confirm(confirmed)
 	return next, registryPause, nil
 }
@@ -50,6 +50,10 @@
 	r.outage.Record(sent, err == nil || g.store.HistoryLost(err))
 }
 
+// graceEnd returns the time until which endpoints are used that the response lacks which has
+// just come.
+func (r *registryTable) graceEnd() time.Time { return r.outage.GraceEnd(r.confirmed, time.Now()) }
+
 // confirm records that a response of the store, which has been applied, shows all changes up to
 // a time.
 func (r *registryTable) confirm(at time.Time) {
@@ -60,10 +64,10 @@
 // registryUpdate is what the store or another VM says of the registry.
 type registryUpdate struct {
 	endpoints.RegistryChange
-	version  int64     // of the store, that the registry then corresponds to
-	known    int64     // that the VM had when it asked
-	complete bool      // whether all endpoints are listed, and others are missing
-	graceEnd time.Time // until which missing endpoints are used
+	version  int64     // version of the store that the registry then corresponds to
+	known    int64     // version that the VM had when it asked
+	complete bool      // whether all endpoints are listed, so that others are missing
+	graceEnd time.Time // until when missing endpoints are used
 }
 
 // updateRegistry applies what the store or another VM says of the registry, unless something
