--- a/io/gateway/knowledge_test.go
+++ b/io/gateway/knowledge_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/evacuation"
 )
 
 // leavingStore is a store with an endpoint that leaves.
@@ -71,3 +72,26 @@
 		})
 	}
 })
+
+var _ = Describe("Two VMs that have lost the store", func() {
+	// Guards against DRAIN: VMs that are cut off from the store confirm each other's registry,
+	// while a third one has the store.
+	It("do not take each other's old registry for confirmed", func() {
+		now := time.Now()
+		vm := func(name string, age time.Duration) *Gateway {
+			g := newTestGateway(Settings{Name: name, DrainNotice: 3 * time.Second})
+			g.updateRegistry(registryUpdate{version: 1, complete: true})
+			g.evacuate(evacuation.Change{Version: 1, Complete: true}, "test")
+			g.state.recordRegistryCheck(now.Add(-age))
+			g.state.recordEvacuationCheck(now.Add(-age))
+			return g
+		}
+		g, other := vm("vm", 4*time.Second), vm("other", 9*time.Second)
+		g.state.knowledge.VMs.Record(now.Add(-time.Second), true) // the third one has responded
+		Expect(g.isStale()).To(BeTrue())
+		view := other.state.fleetView(1, 1)
+		view.VM = "other"
+		g.adoptAndConfirm(view, "other", now)
+		Expect(g.isStale()).To(BeTrue())
+	})
+})
