--- a/review/standin-3/budget.go
+++ b/review/standin-3/budget.go
@@ -35,7 +35,7 @@
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	at(drillAfter)
 	if w.trouble {
-		w.store.drill(copyAge, drillAway)
+		w.store.drill(copyAge, drillAway, false)
 	}
 	at(newVMAfter)
 	third := w.fleet.add("edge-a-3", "3")
--- a/review/standin-3/lethal.go
+++ b/review/standin-3/lethal.go
@@ -60,7 +60,7 @@
 			w.rec.note("third crash")
 			time.Sleep(time.Second)
 			if w.trouble {
-				w.store.drill(lethalCopyAge, lethalAway)
+				w.store.drill(lethalCopyAge, lethalAway, false)
 			} else {
 				time.Sleep(lethalAway)
 			}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -134,7 +134,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(failed)
 	}
-	cases := map[string]func(*world) int{"budget": playBudget, "stale": playStale, "lethal": playLethal}
+	cases := map[string]func(*world) int{"budget": playBudget, "stale": playStale, "lethal": playLethal, "drain": playDrain}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		cannotRun("no such case")
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -25,7 +25,7 @@
 
 	mu       sync.Mutex
 	state    string
-	silent   bool // it has crashed, and writes no entry
+	silent   bool // it has crashed or leaves, and writes no entry
 	runs     map[string]int
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -76,13 +76,7 @@
 	old := n.id
 	n.crashes++
 	n.silent = true
-	n.listener.Close()
-	for c := range n.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Close()
-	}
+	n.closeAll()
 	n.mu.Unlock()
 	go func() {
 		time.Sleep(down)
@@ -126,6 +120,36 @@
 	}
 }
 
+// leave removes the runner's entry without a report that it drains, and returns when the store
+// has accepted that. The runner goes on serving until exit.
+func (n *runner) leave() time.Time {
+	n.mu.Lock()
+	n.silent = true
+	n.mu.Unlock()
+	for !n.store.remove("servers", n.currentID()) {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Now()
+}
+
+// exit ends the runner at once, with all that it runs.
+func (n *runner) exit() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closeAll()
+}
+
+// closeAll closes the address and resets all connections. The caller holds the lock.
+func (n *runner) closeAll() {
+	n.listener.Close()
+	for c := range n.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
 // runsOf returns how often a request has run here.
 func (n *runner) runsOf(id string) int {
 	n.mu.Lock()
--- a/review/standin-3/stale.go
+++ b/review/standin-3/stale.go
@@ -39,7 +39,7 @@
 	returned := make(chan bool)
 	go func() {
 		if w.trouble {
-			w.store.drill(staleCopyAge, staleAway)
+			w.store.drill(staleCopyAge, staleAway, false)
 		} else {
 			time.Sleep(staleAway)
 		}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -72,7 +72,6 @@
 	outside []outsideWrite // what the operator and the runners wrote, in order
 	history []change
 	away    bool
-	back    chan struct{} // closed when the store is back
 	server  *http.Server
 }
 
@@ -120,14 +119,18 @@
 	}
 }
 
-// drill takes the store away for a moment, in which it refuses connections. It comes back from a copy of the given age.
+// drill takes the store away for a moment, in which it refuses connections or, if it is
+// silent, accepts them and answers nothing that was sent until then. It comes
+// back from a copy of the given age.
 // What the operator and the runners wrote is written again before it serves.
-func (s *store) drill(age, away time.Duration) {
+func (s *store) drill(age, away time.Duration, silent bool) {
 	s.mu.Lock()
-	s.away, s.back = true, make(chan struct{})
+	s.away = true
 	server, before := s.server, s.version
 	s.mu.Unlock()
-	server.Close()
+	if !silent {
+		server.Close()
+	}
 	time.Sleep(away)
 	s.mu.Lock()
 	chosen := s.copies[0]
@@ -147,9 +150,10 @@
 	s.copies = nil
 	s.away = false
 	s.record.note("store drill: versions went back from %d to %d, after the rewrite %d, era %d, copy %.1f s old", before, chosen.version, s.version, s.era, time.Since(chosen.at).Seconds()-away.Seconds())
-	close(s.back)
 	s.mu.Unlock()
-	s.listen()
+	if !silent {
+		s.listen()
+	}
 }
 
 // apply writes a row with the next version. The caller holds the lock.
@@ -201,7 +205,7 @@
 	case "/v1/rows-tx":
 		s.transact(w, r)
 	case "/v1/rows-get":
-		s.get(w, q.Get("Table"), q.Get("part"), q.Get("From"), q.Get("To"))
+		s.get(w, r, q.Get("Table"), q.Get("part"), q.Get("From"), q.Get("To"))
 	case "/v1/rows-feed":
 		after, _ := strconv.ParseInt(q.Get("After"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("WaitMs"))
@@ -211,22 +215,21 @@
 	}
 }
 
-// leaveIfAway ends a request without an answer while the store is away. The caller holds the
-// lock, and releases it when it panics.
-func (s *store) leaveIfAway() {
+// leaveIfAway keeps a request without an answer, until its sender closes the connection, while
+// the store is away. The caller holds the lock, and releases it when it panics.
+func (s *store) leaveIfAway(r *http.Request) {
 	if !s.away {
 		return
 	}
-	back := s.back
 	s.mu.Unlock()
-	<-back
+	<-r.Context().Done()
 	s.mu.Lock()
 	panic(http.ErrAbortHandler)
 }
 
 // answer writes an answer; the caller holds the lock.
-func (s *store) answer(w http.ResponseWriter, status int, rows []row, more bool) {
-	s.leaveIfAway()
+func (s *store) answer(w http.ResponseWriter, r *http.Request, status int, rows []row, more bool) {
+	s.leaveIfAway(r)
 	if rows == nil {
 		rows = []row{}
 	}
@@ -237,18 +240,18 @@
 	w.Write(raw)
 }
 
-func (s *store) get(w http.ResponseWriter, table, part, from, to string) {
+func (s *store) get(w http.ResponseWriter, r *http.Request, table, part, from, to string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []row
-	for _, r := range s.rows {
-		if r.Table == table && r.Part == part && !r.Tombstone && r.Key >= from && (to == "" || r.Key < to) {
-			rows = append(rows, r)
+	for _, x := range s.rows {
+		if x.Table == table && x.Part == part && !x.Tombstone && x.Key >= from && (to == "" || x.Key < to) {
+			rows = append(rows, x)
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	more := len(rows) > maxRows
-	s.answer(w, http.StatusOK, rows[:min(len(rows), maxRows)], more)
+	s.answer(w, r, http.StatusOK, rows[:min(len(rows), maxRows)], more)
 }
 
 // lost reports whether the history after a version is gone, or the store doesn't have the
@@ -266,7 +269,7 @@
 func (s *store) feed(w http.ResponseWriter, r *http.Request, table string, after int64, wait time.Duration) {
 	timeout := time.After(wait)
 	for ended := false; ; {
-		changed, done := s.feedOnce(w, table, after, ended)
+		changed, done := s.feedOnce(w, r, table, after, ended)
 		if done {
 			return
 		}
@@ -281,10 +284,10 @@
 }
 
 // feedOnce answers a feed if there is something to say, or its time has ended.
-func (s *store) feedOnce(w http.ResponseWriter, table string, after int64, ended bool) (changed chan struct{}, done bool) {
+func (s *store) feedOnce(w http.ResponseWriter, r *http.Request, table string, after int64, ended bool) (changed chan struct{}, done bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaveIfAway()
+	s.leaveIfAway(r)
 	if s.lost(after) {
 		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		w.WriteHeader(http.StatusGone)
@@ -300,7 +303,7 @@
 		return s.changed, false
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Ver < rows[j].Ver })
-	s.answer(w, http.StatusOK, rows, false)
+	s.answer(w, r, http.StatusOK, rows, false)
 	return nil, true
 }
 
@@ -317,7 +320,7 @@
 	time.Sleep(transactionTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaveIfAway()
+	s.leaveIfAway(r)
 	var current []row
 	met := true
 	for _, e := range t.ExpectedRevision {
@@ -331,7 +334,7 @@
 		met = met && version == e.Ver
 	}
 	if !met {
-		s.answer(w, http.StatusPreconditionFailed, current, false)
+		s.answer(w, r, http.StatusPreconditionFailed, current, false)
 		return
 	}
 	s.version++
@@ -343,5 +346,5 @@
 		s.rows[p.id()] = row{Table: p.Table, Part: p.Part, Key: p.Key, Ver: s.version, Tombstone: true}
 	}
 	s.note()
-	s.answer(w, http.StatusOK, nil, false)
+	s.answer(w, r, http.StatusOK, nil, false)
 }
