--- a/cmd/hawthornspard/gateway.go
+++ b/cmd/hawthornspard/gateway.go
@@ -89,6 +89,7 @@
 	store := platform.NewClient(s.Store, s.Name, path)
 	relay := &storepath.Relay{Transport: path, Store: s.Store, Log: log}
 	g := gateway.New(gatewaySettings(s), store, platform.Headers{}, http1.NewPool(dialer), registry, gateway.WithLog(log), gateway.WithStoreRelay(relay))
+	store.SetEraObserver(g)
 	path.SetPeers(g)
 	watcher.Log = log
 	watcher.Apply = func(next settings.Gateway) { g.Reload(gatewaySettings(next)) }
--- a/core/endpoints/evacuation_test.go
+++ b/core/endpoints/evacuation_test.go
@@ -10,6 +10,7 @@
 
 	"hawthornspar/core/coldstart"
 	"hawthornspar/core/evacuation"
+	"hawthornspar/core/revision"
 )
 
 // evacuationBound is the time after which no request may reach an evacuated endpoint.
@@ -65,7 +66,7 @@
 			var vms []*evacuatingVM
 			for i := range 8 {
 				v := newEvacuatingVM(i < c.cutOff, 0)
-				v.apply(evacuation.Change{Version: 1, Complete: true}, testStart)
+				v.apply(evacuation.Change{Version: revision.Version{Number: 1}, Complete: true}, testStart)
 				vms = append(vms, v)
 			}
 			newcomer := newEvacuatingVM(c.cutOff > 0, c.start)
@@ -78,7 +79,7 @@
 						continue
 					}
 					if !v.cutOff && at%time.Second == 0 {
-						v.apply(evacuation.Change{Version: 2 + int64(at), Complete: true, Started: []string{"north"}}, now)
+						v.apply(evacuation.Change{Version: revision.Version{Number: 2 + int64(at)}, Complete: true, Started: []string{"north"}}, now)
 					}
 					if other := vms[random.IntN(8)].set.View(); v.cutOff && at%(700*time.Millisecond) == 0 && other != nil {
 						v.apply(other.Change(), now)
@@ -101,7 +102,7 @@
 	It("gets neither requests that were chosen before nor any others, and is cold afterwards", func() {
 		v := newEvacuatingVM(false, 0)
 		chosen := v.table.Get("e0")
-		v.apply(evacuation.Change{Version: 1, Complete: true, Started: []string{"north"}}, testStart)
+		v.apply(evacuation.Change{Version: revision.Version{Number: 1}, Complete: true, Started: []string{"north"}}, testStart)
 		Expect(v.table.Accepts(chosen, testStart)).To(BeFalse())
 		Expect(v.table.HasLeft(chosen, testStart)).To(BeFalse(), "running requests continue")
 		Expect(v.table.Count("models", testStart)).To(Equal(2))
@@ -110,14 +111,14 @@
 		}
 		Expect(v.table.StartAttempt(Request{Service: "models"}, nil, "north", random, testStart).Notices.Evacuated).To(Equal(2))
 		Expect(v.table.AllEvacuated("models", testStart)).To(BeFalse())
-		v.apply(evacuation.Change{Version: 2, Started: []string{"south"}}, testStart)
+		v.apply(evacuation.Change{Version: revision.Version{Number: 2}, Started: []string{"south"}}, testStart)
 		Expect(choose(v.table, testStart)).To(BeNil())
 		Expect(v.table.AllEvacuated("models", testStart)).To(BeTrue())
 
 		v = newEvacuatingVM(false, 0)
-		v.apply(evacuation.Change{Version: 1, Complete: true, Started: []string{"north"}}, testStart)
+		v.apply(evacuation.Change{Version: revision.Version{Number: 1}, Complete: true, Started: []string{"north"}}, testStart)
 		Expect(v.table.ColdCount(testStart)).To(BeZero())
-		v.apply(evacuation.Change{Version: 2, Ended: []string{"north"}}, testStart)
+		v.apply(evacuation.Change{Version: revision.Version{Number: 2}, Ended: []string{"north"}}, testStart)
 		Expect(v.table.ColdCount(testStart.Add(2900 * time.Millisecond))).To(Equal(2))
 		Expect(v.table.ColdCount(testStart.Add(3 * time.Second))).To(BeZero())
 	})
--- a/core/endpoints/outcome.go
+++ b/core/endpoints/outcome.go
@@ -1,6 +1,10 @@
 package endpoints
 
-import "time"
+import (
+	"time"
+
+	"hawthornspar/core/revision"
+)
 
 // Durations for which an endpoint is avoided. After a failure the duration is
 // initialAvoidance, doubled for each consecutive failure up to maxAvoidance.
@@ -36,10 +40,10 @@
 // Attempt is one request of this VM, sent to one endpoint.
 type Attempt struct {
 	Endpoint        *Endpoint
-	RunningBefore   int           // this VM's requests at the endpoint before the attempt
-	PrefillTokens   int64         // prompt tokens that the endpoint is expected to prefill
-	RegistryVersion int64         // version of the registry by which the endpoint was chosen
-	RegistryAge     time.Duration // since that registry was confirmed
+	RunningBefore   int              // this VM's requests at the endpoint before the attempt
+	PrefillTokens   int64            // prompt tokens that the endpoint is expected to prefill
+	RegistryVersion revision.Version // version of the registry by which the endpoint was chosen
+	RegistryAge     time.Duration    // since that registry was confirmed
 	Notices         Notices
 	Estimate        Estimate // of the time to the first chunk, by its parts
 	PredictedMs     float64  // the estimate's total
--- a/core/escrow/budgets.go
+++ b/core/escrow/budgets.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"hawthornspar/core/revision"
 )
 
 // Policy sets how often a VM writes its allocations.
@@ -69,15 +71,15 @@
 	moveConflicts int // conflicts in a row over moves
 	deferredMoves int // the next transactions that move nothing because of them
 	accounts      map[string]*account
-	sequence      int64         // of the last planned write
-	ready         bool          // the previous incarnation's allocations have been read
-	ownRowWritten bool          // the VM's row was written by this incarnation
-	written       VMAllocations // the VM's row as last known to have been written
-	closing       bool          // Close was called
-	previous      VMAllocations // of the previous incarnation, until the first write
-	previousEndMs int64         // store's clock by which the previous incarnation had ended
-	ownVersion    int64         // of the VM's row; 0 when it does not exist
-	pending       *Transaction  // planned, with an unknown outcome
+	sequence      int64            // of the last planned write
+	ready         bool             // the previous incarnation's allocations have been read
+	ownRowWritten bool             // the VM's row was written by this incarnation
+	written       VMAllocations    // the VM's row as last known to have been written
+	closing       bool             // Close was called
+	previous      VMAllocations    // of the previous incarnation, until the first write
+	previousEndMs int64            // store's clock by which the previous incarnation had ended
+	ownVersion    revision.Version // of the VM's row; zero when it does not exist
+	pending       *Transaction     // planned, with an unknown outcome
 	clock         storeClock
 	plannedAt     time.Time // when the last transaction was planned; zero makes the next one due
 	dirty         bool      // something changed since then
@@ -135,7 +137,7 @@
 func (b *Budgets) account(name string) *account {
 	a := b.accounts[name]
 	if a == nil {
-		a = &account{version: -1}
+		a = &account{}
 		b.accounts[name] = a
 	}
 	return a
--- a/core/escrow/conflict_test.go
+++ b/core/escrow/conflict_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/revision"
 )
 
 // The totals of a busy account may change before each of a VM's transactions
@@ -17,7 +19,7 @@
 		b.SetHomes(8, true)
 		b.Configure("acme", 1_000_000, true)
 		b.SetSnapshot(s.snapshot())
-		b.TakeOver(VMAllocations{}, 0, 0)
+		b.TakeOver(VMAllocations{}, revision.Version{}, 0)
 		sinceChange := 0
 		for range 2_000 {
 			now = now.Add(10 * time.Millisecond)
@@ -29,7 +31,7 @@
 				continue
 			}
 			sinceChange = 0
-			s.version++ // another VM has changed the total meanwhile
+			s.version.Number++ // another VM has changed the total meanwhile
 			s.totals["acme"] = VersionedTotal{Version: s.version}
 			Expect(b.Conflict(t, s.apply("vm", t).Current)).To(BeTrue())
 		}
--- a/core/escrow/crowded_vm_test.go
+++ b/core/escrow/crowded_vm_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"hawthornspar/core/home"
+	"hawthornspar/core/revision"
 )
 
 // Durations of the simulation of a crowded VM.
@@ -119,7 +120,7 @@
 func (f *crowdedFleet) addBorrower(account string, rate float64) {
 	b := &borrowerVM{name: fmt.Sprintf("borrower%d", len(f.borrowers)), account: account, rate: rate, lenders: Rotation{next: len(f.borrowers)}}
 	b.budgets = f.newBudgets(b.name, false)
-	b.budgets.TakeOver(VMAllocations{}, 0, 0)
+	b.budgets.TakeOver(VMAllocations{}, revision.Version{}, 0)
 	f.borrowers = append(f.borrowers, b)
 }
 
--- a/core/escrow/figures.go
+++ b/core/escrow/figures.go
@@ -18,7 +18,7 @@
 func (b *Budgets) Figures(now time.Time) map[string]Figures {
 	figures := map[string]Figures{}
 	for name, a := range b.accounts {
-		if a.limited && a.version >= 0 {
+		if a.limited && a.totalRead {
 			figures[name] = b.snapshot.figures(name, a.prepaid, b.clock.lowerBound(now))
 		}
 	}
--- a/core/escrow/fleet_loss_test.go
+++ b/core/escrow/fleet_loss_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/revision"
 )
 
 // leftAfterReplacement is the least share of what was unspent that must be available
@@ -32,7 +34,7 @@
 	}
 	b.respond = time.Time{}
 	b.budgets = f.newBudgets(b.name, false)
-	b.budgets.TakeOver(VMAllocations{}, 0, 0)
+	b.budgets.TakeOver(VMAllocations{}, revision.Version{}, 0)
 }
 
 // obtainable returns the tokens of an account that are undrawn, free at a home VM
--- a/core/escrow/home_loan.go
+++ b/core/escrow/home_loan.go
@@ -71,7 +71,7 @@
 
 // onlyBorrows reports whether all tokens of the VM are borrowed.
 func (b *Budgets) onlyBorrows() bool {
-	return !b.isHome && b.ready && b.ownVersion == 0 && b.pending == nil
+	return !b.isHome && b.ready && b.ownVersion.IsZero() && b.pending == nil
 }
 
 // Accounts returns the names of the accounts of which tokens have been granted
--- a/core/escrow/little_left_test.go
+++ b/core/escrow/little_left_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/revision"
 )
 
 // When little of a budget is left, each home VM has a part that is larger than a
@@ -19,7 +21,7 @@
 		b.SetHomes(8, true)
 		b.Configure("acme", 160_000, true)
 		b.SetSnapshot(s.snapshot())
-		b.TakeOver(VMAllocations{}, 0, 0)
+		b.TakeOver(VMAllocations{}, revision.Version{}, 0)
 		write := func() {
 			t := b.Plan(now)
 			b.Applied(t, s.apply("vm", t).Version)
--- a/core/escrow/move.go
+++ b/core/escrow/move.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hawthornspar/core/revision"
 )
 
 // Limits of moves of tokens from the rows of other VMs.
@@ -35,7 +37,7 @@
 // on the row's version.
 type Move struct {
 	VM            string
-	Version       int64            // required of the row
+	Version       revision.Version // required of the row
 	VMAllocations VMAllocations    // new content of the row
 	Tokens        map[string]int64 // tokens moved, by account
 }
@@ -180,7 +182,7 @@
 
 // recordRow records the row of another VM unless a newer one is known.
 func (b *Budgets) recordRow(vm string, row VersionedAllocations) {
-	if vm != b.vm && row.Version >= b.rows[vm].Version {
+	if vm != b.vm && !b.rows[vm].Version.NewerThan(row.Version) {
 		b.rows[vm] = row
 	}
 }
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -38,7 +38,7 @@
 // returnable reports whether a VM that is not a home VM has tokens to return to
 // the store: those that it or its previous incarnation drew as a home VM.
 func (b *Budgets) returnable() bool {
-	if b.ownVersion == 0 {
+	if b.ownVersion.IsZero() {
 		return false
 	}
 	if len(b.previous.Accounts) > 0 {
@@ -55,7 +55,7 @@
 // unbalanced reports whether an account's free tokens are far from the target.
 func (b *Budgets) unbalanced() bool {
 	for _, a := range b.accounts {
-		if a.limited && a.version >= 0 && a.adjustment(b.homeVMs, a.prepaid-a.drawnTotal) != 0 {
+		if a.limited && a.totalRead && a.adjustment(b.homeVMs, a.prepaid-a.drawnTotal) != 0 {
 			return true
 		}
 	}
@@ -92,7 +92,7 @@
 func (b *Budgets) planAccount(t *Transaction, name string, a *account, now time.Time) {
 	a.updateRate(now)
 	grant, reclaimed, unaccounted := int64(0), int64(0), int64(0)
-	if a.version >= 0 {
+	if a.totalRead {
 		reclaimed = b.previous.reclaimable(name, b.previousEndMs)
 		unaccounted = b.previous.unaccounted(name, b.previousEndMs)
 		grant = a.adjustment(b.homeVMs, a.prepaid-a.drawnTotal+reclaimed)
@@ -115,7 +115,7 @@
 		a.granted += grant
 	}
 	moved := int64(0)
-	if a.version >= 0 {
+	if a.totalRead {
 		moved = b.planMoves(t, name, a, a.granted-a.committed()+max(grant, 0), now)
 	}
 	allocation := a.allocation(max(grant, 0)+moved, b.homeVMs)
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/revision"
 )
 
 // Size of the property test: one run for each seed.
@@ -20,7 +22,7 @@
 // store simulates the platform's store: rows with versions, a clock, and
 // transactions that are applied late.
 type store struct {
-	version     int64
+	version     revision.Version
 	nowMs       int64
 	totals      map[string]VersionedTotal
 	allocations map[string]VersionedAllocations
@@ -48,7 +50,7 @@
 		out.Current = s.rowsOf(vm, t)
 		return out
 	}
-	s.version++
+	s.version.Number++
 	s.allocations[vm] = VersionedAllocations{VMAllocations: copyOf(t.VMAllocations), Version: s.version}
 	for _, c := range t.Totals {
 		s.totals[c.Account] = VersionedTotal{Total: c.Total, Version: s.version}
--- a/core/escrow/response_test.go
+++ b/core/escrow/response_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornspar/core/revision"
 )
 
 // A transaction may be sent twice when its first response is late. The response
@@ -18,7 +20,7 @@
 		b.SetHomes(1, true)
 		b.Configure("acme", 1_000, true)
 		b.SetSnapshot(s.snapshot())
-		b.TakeOver(VMAllocations{}, 0, 0)
+		b.TakeOver(VMAllocations{}, revision.Version{}, 0)
 		draw := b.Plan(now)
 		out := s.apply("vm", draw)
 		b.Applied(draw, out.Version)
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -15,6 +15,8 @@
 import (
 	"math"
 	"time"
+
+	"hawthornspar/core/revision"
 )
 
 // Total is the row of a client account.
@@ -138,18 +140,19 @@
 type Snapshot struct {
 	Totals      map[string]VersionedTotal       // by account
 	Allocations map[string]VersionedAllocations // by VM
+	Era         revision.Era                    // of the store
 }
 
 // VersionedTotal is an account's row with its version in the store.
 type VersionedTotal struct {
 	Total   Total
-	Version int64
+	Version revision.Version
 }
 
 // VersionedAllocations is a VM's row with its version in the store.
 type VersionedAllocations struct {
 	VMAllocations VMAllocations
-	Version       int64
+	Version       revision.Version
 }
 
 // maxUnspent returns the most tokens of an account's prepaid budget that may
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hawthornspar/core/revision"
 )
 
 // totalsPerTransaction keeps a transaction, with a condition and a change for
@@ -15,15 +17,15 @@
 // rows still have the given versions.
 type Transaction struct {
 	Totals        []TotalChange
-	Moves         []Move        // from the rows of other VMs
-	VMAllocations VMAllocations // new content of the VM's row
-	Version       int64         // required of the VM's row; 0 when it must not exist
+	Moves         []Move           // from the rows of other VMs
+	VMAllocations VMAllocations    // new content of the VM's row
+	Version       revision.Version // required of the VM's row; 0 when it must not exist
 }
 
 // TotalChange replaces the total of one account.
 type TotalChange struct {
 	Account   string
-	Version   int64 // required of the total's row; 0 when it must not exist
+	Version   revision.Version // required of the total's row; 0 when it must not exist
 	Total     Total
 	Grant     int64 // tokens that the VM draws; negative when it returns them
 	Reclaimed int64 // tokens reclaimed from the VM's previous incarnation
@@ -36,9 +38,7 @@
 	b.recordRows(s)
 	b.recordTotals(s)
 	for name, a := range b.accounts {
-		if a.version < 0 {
-			a.version = 0 // the row does not exist yet
-		}
+		a.totalRead = true // the row need not exist
 		a.otherVMs = otherVMs{}
 		for vm, row := range s.Allocations {
 			if vm == b.vm {
@@ -54,7 +54,7 @@
 // TakeOver takes over the row of the previous incarnation. version is the row's
 // version, 0 when there is none; the previous incarnation had ended when the
 // store's clock showed previousEndMs.
-func (b *Budgets) TakeOver(row VMAllocations, version, previousEndMs int64) {
+func (b *Budgets) TakeOver(row VMAllocations, version revision.Version, previousEndMs int64) {
 	b.previousEndMs = previousEndMs
 	b.previous = row
 	b.sequence = row.Sequence
@@ -69,12 +69,12 @@
 // Ready reports whether TakeOver was called.
 func (b *Budgets) Ready() bool { return b.ready }
 
-// recordTotal records an account's row unless a newer one is known. version is 0
+// recordTotal records an account's row unless a newer one is known. version is zero
 // when the row does not exist.
-func (b *Budgets) recordTotal(name string, t Total, version int64) {
+func (b *Budgets) recordTotal(name string, t Total, version revision.Version) {
 	a := b.account(name)
-	if version >= a.version {
-		a.drawnTotal, a.unaccountedTotal, a.version = t.Drawn, t.Unaccounted, version
+	if !a.totalRead || !a.version.NewerThan(version) {
+		a.drawnTotal, a.unaccountedTotal, a.version, a.totalRead = t.Drawn, t.Unaccounted, version, true
 	}
 }
 
@@ -82,7 +82,7 @@
 // read.
 func (b *Budgets) HasUnreadTotals() bool {
 	for _, a := range b.accounts {
-		if a.limited && a.version < 0 {
+		if a.limited && !a.totalRead {
 			return true
 		}
 	}
@@ -92,7 +92,7 @@
 // Applied records that the store applied a transaction, with the version that
 // its rows have now. It ignores any transaction except the pending one, as the
 // response to another one is outdated.
-func (b *Budgets) Applied(t *Transaction, version int64) {
+func (b *Budgets) Applied(t *Transaction, version revision.Version) {
 	if t == nil || t != b.pending {
 		return
 	}
@@ -107,7 +107,7 @@
 
 // applyGrants records the drawn and moved tokens of a transaction that the store
 // applied, and the version that the VM's row has.
-func (b *Budgets) applyGrants(t *Transaction, version int64) {
+func (b *Budgets) applyGrants(t *Transaction, version revision.Version) {
 	b.pending = nil
 	b.ownVersion = version
 	b.written = t.VMAllocations
@@ -243,8 +243,8 @@
 // Outcome is the store's response to a transaction.
 type Outcome struct {
 	Applied bool
-	Version int64 // of the changed rows
-	StoreMs int64 // the store's clock
+	Version revision.Version // of the changed rows
+	StoreMs int64            // the store's clock
 	At      time.Time
 	Current Snapshot // rows of the conditions, when the transaction was not applied
 }
--- a/core/evacuation/set.go
+++ b/core/evacuation/set.go
@@ -5,43 +5,49 @@
 import (
 	"maps"
 	"slices"
+
+	"hawthornspar/core/revision"
 )
 
 // Change is what a read of the store says about evacuated failure domains.
 type Change struct {
-	Version  int64 // the store's version that the change leads to
-	Complete bool  // Started holds all domains that are evacuated
+	Version  revision.Version // the store's version that the change leads to
+	Complete bool             // Started holds all domains that are evacuated
+	// Restored is set if the store has just come back from a copy, and may not have again
+	// what was written since. A domain that it does not list stays evacuated.
+	Restored bool
 	Started  []string
 	Ended    []string
 }
 
 // View is the complete set as one VM knows it. VMs exchange it as JSON.
 type View struct {
-	Version int64    `json:"version"`
-	Domains []string `json:"domains"`
+	Version int64        `json:"version"` // its number
+	Era     revision.Era `json:"era,omitempty"`
+	Domains []string     `json:"domains"`
 }
 
 // Change returns the change that replaces another VM's set by the view.
 func (v View) Change() Change {
-	return Change{Version: v.Version, Complete: true, Started: v.Domains}
+	return Change{Version: revision.Version{Era: v.Era, Number: v.Version}, Complete: true, Started: v.Domains}
 }
 
 // Set is the set of evacuated failure domains. The zero value is unknown and holds none. It
 // is not safe for concurrent use.
 type Set struct {
 	known   bool
-	version int64
+	version revision.Version
 	domains map[string]bool
 }
 
 // Apply applies a change unless it is older than what is known, and returns the domains
 // whose evacuation has started and ended by it, in order.
 func (s *Set) Apply(c Change) (started, ended []string) {
-	if s.known && c.Version <= s.version {
+	if s.known && !c.Version.NewerThan(s.version) {
 		return nil, nil
 	}
 	next := map[string]bool{}
-	if !c.Complete {
+	if !c.Complete || c.Restored {
 		maps.Copy(next, s.domains)
 	}
 	for _, d := range c.Started {
@@ -72,11 +78,11 @@
 	if !s.known {
 		return nil
 	}
-	return &View{Version: s.version, Domains: slices.Sorted(maps.Keys(s.domains))}
+	return &View{Version: s.version.Number, Era: s.version.Era, Domains: slices.Sorted(maps.Keys(s.domains))}
 }
 
 // Version returns the store's version of the set.
-func (s *Set) Version() int64 { return s.version }
+func (s *Set) Version() revision.Version { return s.version }
 
 // Count returns the number of evacuated domains.
 func (s *Set) Count() int { return len(s.domains) }
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"hawthornspar/core/revision"
 )
 
 // testFleet is a store and the tables of the VMs that share it, on virtual time.
@@ -13,7 +15,7 @@
 	crashes map[Key]Crash
 	sounds  map[Key]Sound
 	trials  map[Feature]Trial
-	version int64
+	version revision.Version
 	vms     []*Table
 	writes  int // rows written
 }
@@ -96,7 +98,7 @@
 		t.SetTrial(f.trials[feature])
 		return false
 	}
-	f.version++
+	f.version.Number++
 	next.Version = f.version
 	f.trials[feature] = next
 	t.SetTrial(next)
--- a/core/quarantine/retention.go
+++ b/core/quarantine/retention.go
@@ -99,7 +99,7 @@
 	if s.known.StoreMs > 0 && (all || s.known.VM == t.vm || s.known.VM == OperatorName) {
 		t.queueRemoval(s.known.Key())
 	}
-	if s.trial.Version > 0 && (all || s.trial.VM == t.vm) {
+	if !s.trial.Version.IsZero() && (all || s.trial.VM == t.vm) {
 		t.queueRemoval(s.trial.Key())
 	}
 	delete(t.suspects, s.feature)
--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -31,7 +31,7 @@
 
 // unused reports whether nothing is known of the feature that matters.
 func (s *suspect) unused() bool {
-	return len(s.incidents) == 0 && s.known.StoreMs == 0 && s.trial.Version == 0
+	return len(s.incidents) == 0 && s.known.StoreMs == 0 && s.trial.Version.IsZero()
 }
 
 // accuse adds a crash to the evidence.
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -190,7 +190,7 @@
 			crash.Caught[f] = i.caught[f]
 			crashes[i.Incarnation] = crash
 		}
-		if s.trial.Version > 0 {
+		if !s.trial.Version.IsZero() {
 			c.Trials = append(c.Trials, s.trial)
 		}
 	}
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -109,7 +109,7 @@
 		for range 5 {
 			Expect(f.runs(t, sound)).To(BeTrue())
 			Expect(t.Check([]Feature{sound}, f.now).TrialDue).To(BeFalse())
-			f.version++
+			f.version.Number++
 			refunded := f.trials[sound].Refund()
 			refunded.Version = f.version
 			f.trials[sound] = refunded
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"hawthornspar/core/revision"
 )
 
 // trialDelays are the times from one trial of a quarantined feature to the next; the
@@ -32,10 +34,10 @@
 	// Apart is the number of those whose requests lacked another feature with the same
 	// crashes. Their outcome tells which of these is to blame.
 	Apart    int
-	LastKind TrialKind // of the last trial
-	StoreMs  int64     // start of the last trial on the store's clock
-	Refunded bool      // no endpoint ran its request; the next trial may start at once
-	Version  int64     // version of the store's row; 0 if there is none
+	LastKind TrialKind        // of the last trial
+	StoreMs  int64            // start of the last trial on the store's clock
+	Refunded bool             // no endpoint ran its request; the next trial may start at once
+	Version  revision.Version // version of the store's row; zero if there is none
 }
 
 // TrialKind distinguishes trials.
@@ -145,7 +147,7 @@
 // NextTrial returns the trial of a feature that a VM may claim when one is due, for a
 // request with the given features. The claim holds if the store's row still has the
 // given version.
-func (t *Table) NextTrial(f Feature, features []Feature, now time.Time) (next Trial, version int64) {
+func (t *Table) NextTrial(f Feature, features []Feature, now time.Time) (next Trial, version revision.Version) {
 	s := t.suspectOf(f)
 	next = Trial{Feature: f, VM: t.vm, Count: s.trialCount() + 1, Apart: s.currentTrial().Apart, LastKind: t.kindOf(f, features), StoreMs: t.clock.at(now)}
 	if next.LastKind == ApartTrial {
@@ -168,7 +170,7 @@
 // SetTrial records a trial that was claimed, here or by another VM.
 func (t *Table) SetTrial(trial Trial) {
 	s := t.suspectOf(trial.Feature)
-	if trial.Version >= s.trial.Version {
+	if !s.trial.Version.NewerThan(trial.Version) {
 		s.trial = trial
 	}
 }
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -61,7 +61,7 @@
 	x.attempted[attempt.Endpoint.ID] = true
 	x.gateway.log.Info("sent", "id", x.info.ID, "endpoint", attempt.Endpoint.ID, "service", x.service, "running", attempt.RunningBefore, "uncached", attempt.PrefillTokens,
 		"predictedMs", int64(attempt.PredictedMs), "waitMs", int64(attempt.Estimate.WaitMs), "slotMs", int64(attempt.Estimate.SlotMs), "cost", round3(attempt.Cost.Own), "work", round3(attempt.Cost.Work), "costToOthers", round3(attempt.Cost.Others),
-		"registry", attempt.RegistryVersion, "registryAgeMs", attempt.RegistryAge.Milliseconds(), "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "cold", attempt.Notices.Cold, "evacuated", attempt.Notices.Evacuated, "left", time.Until(x.deadline).Milliseconds())
+		"registry", attempt.RegistryVersion.String(), "registryAgeMs", attempt.RegistryAge.Milliseconds(), "leaving", attempt.Notices.Leaving, "paused", attempt.Notices.Paused, "cold", attempt.Notices.Cold, "evacuated", attempt.Notices.Evacuated, "left", time.Until(x.deadline).Milliseconds())
 	outcome, next, refused := x.attempt(ctx, attempt)
 	if x.request.Context().Err() != nil {
 		outcome = endpoints.Inconclusive
--- a/io/gateway/cold_test.go
+++ b/io/gateway/cold_test.go
@@ -10,6 +10,7 @@
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/evacuation"
 	"hawthornspar/core/home"
+	"hawthornspar/core/revision"
 	"hawthornspar/core/route"
 )
 
@@ -23,7 +24,7 @@
 		g.configure(&route.Document{Version: 1, Services: []route.Service{{Name: "models", Cold: coldstart.Tolerance{Start: 3 * time.Second, PerSecond: 16}}}})
 		g.state.vm.StartedAt = time.Now().Add(-time.Minute)
 		g.updateMembers([]home.VM{{Name: "vm"}}, sourceStore)
-		g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{{ID: "e", Service: "models", Domain: "north", Address: "10.0.0.1:80"}}}, version: 1, complete: true})
+		g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{{ID: "e", Service: "models", Domain: "north", Address: "10.0.0.1:80"}}}, version: revision.Version{Number: 1}, complete: true})
 		g.state.recordRegistryCheck(time.Now())
 		g.state.recordEvacuationCheck(time.Now())
 		a = g.state.startAttempt(endpoints.Request{Service: "models"}, nil)
@@ -36,7 +37,9 @@
 	}{
 		{"nothing has changed", func() {}, refusal{}},
 		{"its endpoint left", func() { g.state.recordLeaving(a.Endpoint) }, endpointLeft},
-		{"its failure domain was evacuated", func() { g.evacuate(evacuation.Change{Version: 1, Started: []string{"north"}}, "test") }, endpointEvacuated},
+		{"its failure domain was evacuated", func() {
+			g.evacuate(evacuation.Change{Version: revision.Version{Number: 1}, Started: []string{"north"}}, "test")
+		}, endpointEvacuated},
 		{"its endpoint turned cold, and this VM has sent enough", func() {
 			g.state.recordCold(a.Endpoint, time.Second)
 			for range 4 {
@@ -61,7 +64,7 @@
 		cold := x.shortageRefusal(noEndpoint)
 		Expect(cold.reason).To(Equal(endpointsCold.reason))
 		Expect(cold.retryAfter).To(BeNumerically("~", 2600*time.Millisecond, 200*time.Millisecond))
-		g.evacuate(evacuation.Change{Version: 1, Started: []string{"north"}}, "test")
+		g.evacuate(evacuation.Change{Version: revision.Version{Number: 1}, Started: []string{"north"}}, "test")
 		Expect(x.shortageRefusal(noEndpoint)).To(Equal(domainEvacuated))
 	})
 })
--- a/io/gateway/crash_state.go
+++ b/io/gateway/crash_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornspar/core/quarantine"
+	"hawthornspar/core/revision"
 )
 
 // noSuspects reports whether no feature is suspect of crashing endpoints.
@@ -29,7 +30,7 @@
 
 // nextTrial returns the trial of a feature that is due for a request with the given
 // features, and the version of its row on which the claim depends.
-func (s *state) nextTrial(f quarantine.Feature, features []quarantine.Feature) (quarantine.Trial, int64) {
+func (s *state) nextTrial(f quarantine.Feature, features []quarantine.Feature) (quarantine.Trial, revision.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.quarantine.NextTrial(f, features, time.Now())
--- a/io/gateway/crash_sync.go
+++ b/io/gateway/crash_sync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornspar/core/quarantine"
+	"hawthornspar/core/revision"
 )
 
 // Timing of the synchronisation of crashes with the store.
@@ -29,7 +30,7 @@
 // crashTable learns the crashes that other VMs have recorded.
 type crashTable struct{ gateway *Gateway }
 
-func (c *crashTable) read(ctx context.Context) (int64, error) {
+func (c *crashTable) read(ctx context.Context) (revision.Version, error) {
 	change, at, err := c.gateway.store.Crashes(ctx)
 	if err == nil {
 		c.gateway.replaceCrashes(change, at)
@@ -37,10 +38,10 @@
 	return at.Version, err
 }
 
-func (c *crashTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
+func (c *crashTable) watch(ctx context.Context, version revision.Version) (revision.Version, time.Duration, error) {
 	change, at, err := c.gateway.store.WatchCrashes(ctx, version, crashWatchHold)
 	if err != nil {
-		return 0, 0, err
+		return revision.Version{}, 0, err
 	}
 	c.gateway.state.setCrashClock(at.Ms)
 	c.gateway.applyCrashes(change)
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -14,6 +14,7 @@
 	"hawthornspar/core/evacuation"
 	"hawthornspar/core/home"
 	"hawthornspar/core/quarantine"
+	"hawthornspar/core/revision"
 	"hawthornspar/core/route"
 )
 
@@ -63,7 +64,7 @@
 
 // StoreTime is the store's version and its clock in milliseconds.
 type StoreTime struct {
-	Version int64
+	Version revision.Version
 	Ms      int64
 }
 
@@ -83,10 +84,10 @@
 type Store interface {
 	// Operations reads what the operator has written. With an error and a version, only
 	// the configuration could not be decoded.
-	Operations(context.Context) (Operations, int64, error)
-	WatchOperations(ctx context.Context, version int64, wait time.Duration) (Operations, int64, error)
-	Registry(context.Context) (endpoints.RegistryChange, int64, error)
-	WatchRegistry(ctx context.Context, version int64, wait time.Duration) (endpoints.RegistryChange, int64, error)
+	Operations(context.Context) (Operations, revision.Version, error)
+	WatchOperations(ctx context.Context, version revision.Version, wait time.Duration) (Operations, revision.Version, error)
+	Registry(context.Context) (endpoints.RegistryChange, revision.Version, error)
+	WatchRegistry(ctx context.Context, version revision.Version, wait time.Duration) (endpoints.RegistryChange, revision.Version, error)
 	// Budgets reads the budgets of a group, and the store's clock in
 	// milliseconds.
 	Budgets(ctx context.Context, group int) (escrow.Snapshot, int64, error)
@@ -97,11 +98,11 @@
 	// Crashes reads the crashes of endpoints and the trials that all VMs know, and
 	// the store's clock in milliseconds.
 	Crashes(context.Context) (quarantine.Change, StoreTime, error)
-	WatchCrashes(ctx context.Context, version int64, wait time.Duration) (quarantine.Change, StoreTime, error)
+	WatchCrashes(ctx context.Context, version revision.Version, wait time.Duration) (quarantine.Change, StoreTime, error)
 	WriteCrashes(context.Context, []quarantine.Write) error
 	// ClaimTrial writes a trial if its row still has the given version; 0 means that
 	// there is none. It returns the trial that the store has then.
-	ClaimTrial(ctx context.Context, next quarantine.Trial, version int64) (current quarantine.Trial, claimed bool, err error)
+	ClaimTrial(ctx context.Context, next quarantine.Trial, version revision.Version) (current quarantine.Trial, claimed bool, err error)
 	// Rejected reports whether an error means that the store does not accept a request,
 	// however often it is sent.
 	Rejected(error) bool
--- a/io/gateway/evacuation.go
+++ b/io/gateway/evacuation.go
@@ -10,10 +10,10 @@
 func (g *Gateway) evacuate(c evacuation.Change, source string) {
 	started, ended := g.state.evacuate(c)
 	for _, d := range started {
-		g.log.Info("evacuation", "domain", d, "started", true, "version", c.Version, "source", source)
+		g.log.Info("evacuation", "domain", d, "started", true, "version", c.Version.String(), "source", source)
 	}
 	for _, d := range ended {
-		g.log.Info("evacuation", "domain", d, "started", false, "version", c.Version, "source", source)
+		g.log.Info("evacuation", "domain", d, "started", false, "version", c.Version.String(), "source", source)
 	}
 }
 
--- a/io/gateway/fleet_poller.go
+++ b/io/gateway/fleet_poller.go
@@ -136,7 +136,7 @@
 		g.adoptEvacuations(v.fleetView, v.from)
 	}
 	slices.SortFunc(views, func(a, b receivedView) int {
-		return cmp.Or(cmp.Compare(b.configurationVersion(), a.configurationVersion()), cmp.Compare(b.RegistryVersion, a.RegistryVersion))
+		return cmp.Or(cmp.Compare(b.configurationVersion(), a.configurationVersion()), cmp.Compare(b.RegistryEra, a.RegistryEra), cmp.Compare(b.RegistryVersion, a.RegistryVersion))
 	})
 	for _, v := range views {
 		g.adopt(v.fleetView, v.from)
@@ -218,10 +218,10 @@
 		g.log.Info("configuration from a VM", "from", from, "version", v.Configuration.Version)
 		g.configure(v.Configuration)
 	}
-	if known := g.state.versions().Registry; v.Endpoints != nil && v.RegistryVersion > known {
-		g.log.Info("registry from a VM", "from", from, "version", v.RegistryVersion, "endpoints", len(v.Endpoints))
+	if known := g.state.knownRegistry(); v.Endpoints != nil && v.registry().NewerThan(known) {
+		g.log.Info("registry from a VM", "from", from, "version", v.registry().String(), "endpoints", len(v.Endpoints))
 		list := endpoints.RegistryChange{Put: v.Endpoints, Expiring: v.Expiring}
-		g.updateRegistry(registryUpdate{RegistryChange: list, version: v.RegistryVersion, known: known, complete: true, graceEnd: time.Now()})
+		g.updateRegistry(registryUpdate{RegistryChange: list, version: v.registry(), known: known, complete: true, graceEnd: time.Now()})
 	}
 	g.applyCrashes(v.Quarantines)
 	if v.Authority != nil {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -183,7 +183,7 @@
 func (g *Gateway) watchers() []*watcher {
 	return []*watcher{
 		{
-			gateway: g, table: &operationsTable{g}, timeout: watchTimeout, store: &dependency{name: "configuration"},
+			gateway: g, table: &operationsTable{gateway: g}, timeout: watchTimeout, store: &dependency{name: "configuration"},
 			onAttempt: func(err error) { g.configurationFailing.Store(err != nil) },
 		},
 		{gateway: g, table: &registryTable{gateway: g}, timeout: watchTimeout, store: &dependency{name: "registry"}},
--- a/io/gateway/knowledge_test.go
+++ b/io/gateway/knowledge_test.go
@@ -11,6 +11,7 @@
 
 	"hawthornspar/core/endpoints"
 	"hawthornspar/core/evacuation"
+	"hawthornspar/core/revision"
 )
 
 // leavingStore is a store with an endpoint that leaves.
@@ -19,12 +20,12 @@
 	change endpoints.RegistryChange
 }
 
-func (s *leavingStore) WatchRegistry(context.Context, int64, time.Duration) (endpoints.RegistryChange, int64, error) {
-	return s.change, 2, nil
+func (s *leavingStore) WatchRegistry(context.Context, revision.Version, time.Duration) (endpoints.RegistryChange, revision.Version, error) {
+	return s.change, revision.Version{Number: 2}, nil
 }
 
-func (s *leavingStore) Registry(context.Context) (endpoints.RegistryChange, int64, error) {
-	return s.change, 2, nil
+func (s *leavingStore) Registry(context.Context) (endpoints.RegistryChange, revision.Version, error) {
+	return s.change, revision.Version{Number: 2}, nil
 }
 
 var _ = Describe("A VM that goes on after it was suspended", func() {
@@ -38,7 +39,7 @@
 		learn func(*Gateway)
 	}{
 		{"a watch of the store", func(g *Gateway) {
-			_, _, err := (&registryTable{gateway: g}).watch(context.Background(), 1)
+			_, _, err := (&registryTable{gateway: g}).watch(context.Background(), revision.Version{Number: 1})
 			Expect(err).NotTo(HaveOccurred())
 		}},
 		{"a read of the store", func(g *Gateway) {
@@ -56,7 +57,7 @@
 		It("does not count its registry as confirmed before it has the changes: "+t.name, func() {
 			g := newTestGateway(Settings{Name: "vm", DrainNotice: notice})
 			g.store = &leavingStore{change: change}
-			g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{there}}, version: 1})
+			g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{there}}, version: revision.Version{Number: 1}})
 			g.state.recordEvacuationCheck(time.Now())
 			g.state.recordVMRequest(time.Now(), nil)
 			g.state.recordRegistryCheck(time.Now().Add(-4 * time.Second))
@@ -80,8 +81,8 @@
 		now := time.Now()
 		vm := func(name string, age time.Duration) *Gateway {
 			g := newTestGateway(Settings{Name: name, DrainNotice: 3 * time.Second})
-			g.updateRegistry(registryUpdate{version: 1, complete: true})
-			g.evacuate(evacuation.Change{Version: 1, Complete: true}, "test")
+			g.updateRegistry(registryUpdate{version: revision.Version{Number: 1}, complete: true})
+			g.evacuate(evacuation.Change{Version: revision.Version{Number: 1}, Complete: true}, "test")
 			g.state.recordRegistryCheck(now.Add(-age))
 			g.state.recordEvacuationCheck(now.Add(-age))
 			return g
@@ -89,7 +90,7 @@
 		g, other := vm("vm", 4*time.Second), vm("other", 9*time.Second)
 		g.state.knowledge.VMs.Record(now.Add(-time.Second), true) // the third one has responded
 		Expect(g.isStale()).To(BeTrue())
-		view := other.state.fleetView(1, 1)
+		view := other.state.fleetView(fleetQuery{Configuration: 1, Registry: 1})
 		view.VM = "other"
 		g.adoptAndConfirm(view, "other", now)
 		Expect(g.isStale()).To(BeTrue())
--- a/io/gateway/registry.go
+++ b/io/gateway/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/revision"
 )
 
 // registryTable keeps the endpoints up to date.
@@ -16,24 +17,24 @@
 	confirmed time.Time
 }
 
-func (r *registryTable) read(ctx context.Context) (int64, error) {
-	sent, known := time.Now(), r.gateway.state.versions().Registry
+func (r *registryTable) read(ctx context.Context) (revision.Version, error) {
+	sent, known := time.Now(), r.gateway.state.knownRegistry()
 	change, version, err := r.gateway.store.Registry(ctx)
 	r.recordRequest(sent, err)
 	if err != nil {
-		return 0, err
+		return revision.Version{}, err
 	}
 	r.gateway.updateRegistry(registryUpdate{RegistryChange: change, version: version, known: known, complete: true, graceEnd: r.graceEnd()})
 	r.confirm(sent)
 	return version, nil
 }
 
-func (r *registryTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
-	sent, known := time.Now(), r.gateway.state.versions().Registry
+func (r *registryTable) watch(ctx context.Context, version revision.Version) (revision.Version, time.Duration, error) {
+	sent, known := time.Now(), r.gateway.state.knownRegistry()
 	change, next, err := r.gateway.store.WatchRegistry(ctx, version, watchHold)
 	r.recordRequest(sent, err)
 	if err != nil {
-		return 0, 0, err
+		return revision.Version{}, 0, err
 	}
 	// It depends on when the response came, and not on how long its changes take.
 	confirmed := confirmedAt(sent, !change.Empty())
@@ -64,10 +65,10 @@
 // registryUpdate is what the store or another VM says of the registry.
 type registryUpdate struct {
 	endpoints.RegistryChange
-	version  int64     // version of the store that the registry then corresponds to
-	known    int64     // version that the VM had when it asked
-	complete bool      // whether all endpoints are listed, so that others are missing
-	graceEnd time.Time // until when missing endpoints are used
+	version  revision.Version // version of the store that the registry then corresponds to
+	known    revision.Version // version that the VM had when it asked
+	complete bool             // whether all endpoints are listed, so that others are missing
+	graceEnd time.Time        // until when missing endpoints are used
 }
 
 // updateRegistry applies what the store or another VM says of the registry, unless something
@@ -77,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.overtaken(u) {
-		g.log.Info("registry overtaken", "version", u.version, "known", s.registryVersion)
+		g.log.Info("registry overtaken", "version", u.version.String(), "known", s.registryVersion.String())
 		return
 	}
 	if u.complete {
@@ -95,8 +96,8 @@
 // store that has gone back to an earlier version lists an older one, which is the newest all
 // the same. The caller holds the lock.
 func (s *state) overtaken(u registryUpdate) bool {
-	hasGoneBack := u.complete && u.known == s.registryVersion
-	return u.version < s.registryVersion && !hasGoneBack
+	hasGoneBack := u.complete && u.known == s.registryVersion && u.version.Era == u.known.Era
+	return s.registryVersion.NewerThan(u.version) && !hasGoneBack
 }
 
 // unlisted returns the ids of the known endpoints that are not listed. The caller holds the
@@ -122,7 +123,7 @@
 			g.confirmCrash(r.ID, r.Born)
 		}
 		if change != endpoints.Unchanged {
-			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String(), "registry", u.version)
+			g.log.Info("endpoint", "endpoint", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "change", change.String(), "registry", u.version.String())
 		}
 	}
 	for _, id := range append(u.Removed, u.Unreadable...) {
@@ -130,7 +131,7 @@
 			g.confirmCrash(id, 0)
 		}
 		if t.Expire(id, u.graceEnd) {
-			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(u.graceEnd), "registry", u.version, "registryAge", g.state.knowledge.Registry.Age(time.Now()))
+			g.log.Info("endpoint missing", "endpoint", id, "goneIn", time.Until(u.graceEnd), "registry", u.version.String(), "registryAge", g.state.knowledge.Registry.Age(time.Now()))
 		}
 	}
 	g.sweep(time.Now())
--- a/io/gateway/registry_test.go
+++ b/io/gateway/registry_test.go
@@ -8,22 +8,23 @@
 	. "github.com/onsi/gomega"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/revision"
 )
 
 // slowStore responds with a registry that something overtakes on its way.
 type slowStore struct {
 	Store
 	change  endpoints.RegistryChange
-	version int64
+	version revision.Version
 	onWay   func()
 }
 
-func (s *slowStore) WatchRegistry(context.Context, int64, time.Duration) (endpoints.RegistryChange, int64, error) {
+func (s *slowStore) WatchRegistry(context.Context, revision.Version, time.Duration) (endpoints.RegistryChange, revision.Version, error) {
 	s.onWay()
 	return s.change, s.version, nil
 }
 
-func (s *slowStore) Registry(context.Context) (endpoints.RegistryChange, int64, error) {
+func (s *slowStore) Registry(context.Context) (endpoints.RegistryChange, revision.Version, error) {
 	s.onWay()
 	return s.change, s.version, nil
 }
@@ -44,13 +45,13 @@
 		return v
 	}
 	readBeside := func(g *Gateway, version int64, onWay func()) {
-		g.store = &slowStore{change: put(there), version: version, onWay: onWay}
+		g.store = &slowStore{change: put(there), version: revision.Version{Number: version}, onWay: onWay}
 		_, err := (&registryTable{gateway: g}).read(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 	}
 	watchBeside := func(g *Gateway, version int64, onWay func()) {
-		g.store = &slowStore{change: put(there), version: version, onWay: onWay}
-		_, _, err := (&registryTable{gateway: g}).watch(context.Background(), 1)
+		g.store = &slowStore{change: put(there), version: revision.Version{Number: version}, onWay: onWay}
+		_, _, err := (&registryTable{gateway: g}).watch(context.Background(), revision.Version{Number: 1})
 		Expect(err).NotTo(HaveOccurred())
 	}
 	for _, c := range []struct {
@@ -60,18 +61,18 @@
 	}{
 		// Guards against DRAIN: another VM that has learnt it later has a grace for it.
 		{"does not take it back from another VM that still uses it", func(g *Gateway) {
-			g.updateRegistry(registryUpdate{RegistryChange: removed, version: 2, graceEnd: time.Now()})
+			g.updateRegistry(registryUpdate{RegistryChange: removed, version: revision.Version{Number: 2}, graceEnd: time.Now()})
 			g.adopt(view(3, time.Second, there), "other")
 		}, 0},
 		{"does not use it for longer because another VM does", func(g *Gateway) {
-			g.updateRegistry(registryUpdate{RegistryChange: removed, version: 2, graceEnd: time.Now().Add(50 * time.Millisecond)})
+			g.updateRegistry(registryUpdate{RegistryChange: removed, version: revision.Version{Number: 2}, graceEnd: time.Now().Add(50 * time.Millisecond)})
 			g.adopt(view(3, time.Second, there), "other")
 		}, 0},
 		{"uses it while another VM has a grace for it that it does not know", func(g *Gateway) {
 			g.adopt(view(3, time.Second, there), "other")
 		}, 1},
 		{"uses it again once it has started anew", func(g *Gateway) {
-			g.updateRegistry(registryUpdate{RegistryChange: removed, version: 2, graceEnd: time.Now()})
+			g.updateRegistry(registryUpdate{RegistryChange: removed, version: revision.Version{Number: 2}, graceEnd: time.Now()})
 			again := there
 			again.Born++
 			g.adopt(view(3, time.Second, again), "other")
@@ -91,13 +92,13 @@
 			watchBeside(g, 5, func() { g.adopt(view(5, 0, leaving), "other") })
 		}, 1},
 		{"follows a store that has gone back", func(g *Gateway) {
-			g.updateRegistry(registryUpdate{RegistryChange: put(leaving), version: 5, graceEnd: time.Now()})
+			g.updateRegistry(registryUpdate{RegistryChange: put(leaving), version: revision.Version{Number: 5}, graceEnd: time.Now()})
 			readBeside(g, 2, func() {})
 		}, 1},
 	} {
 		It(c.name, func() {
 			g := newTestGateway(Settings{Name: "vm"})
-			g.updateRegistry(registryUpdate{RegistryChange: put(there), version: 1, graceEnd: time.Now()})
+			g.updateRegistry(registryUpdate{RegistryChange: put(there), version: revision.Version{Number: 1}, graceEnd: time.Now()})
 			c.act(g)
 			Expect(g.state.endpoints.Count("apps", time.Now().Add(60*time.Millisecond))).To(Equal(c.want))
 		})
@@ -105,9 +106,9 @@
 
 	It("tells other VMs nothing older than its version says", func() {
 		g := newTestGateway(Settings{Name: "vm"})
-		g.updateRegistry(registryUpdate{RegistryChange: put(there), version: 1, graceEnd: time.Now()})
+		g.updateRegistry(registryUpdate{RegistryChange: put(there), version: revision.Version{Number: 1}, graceEnd: time.Now()})
 		watchBeside(g, 2, func() { g.adopt(view(5, 0, leaving), "other") })
-		v := g.state.fleetView(0, 0)
+		v := g.state.fleetView(fleetQuery{})
 		Expect(v.RegistryVersion).To(Equal(int64(5)))
 		Expect(v.Endpoints).To(ConsistOf(leaving))
 	})
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -12,6 +12,7 @@
 	"hawthornspar/core/home"
 	"hawthornspar/core/quarantine"
 	"hawthornspar/core/retrybudget"
+	"hawthornspar/core/revision"
 	"hawthornspar/core/route"
 )
 
@@ -26,8 +27,10 @@
 	registryKnown bool // whether the store or another VM has sent the registry of endpoints
 	// registryVersion is the store's version that the known registry
 	// corresponds to.
-	registryVersion int64
+	registryVersion revision.Version
 	knowledge       endpoints.Knowledge
+	eras            revision.Tracker
+	steppedBackAt   time.Time // when the store's last step back was seen; zero for never
 	evacuations     evacuation.Set
 	groups          []*group
 	retries         *retrybudget.Budget
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hawthornspar/core/revision"
 	"hawthornspar/core/route"
 )
 
@@ -61,19 +62,30 @@
 }
 
 // operationsTable puts each new configuration and the evacuations in force.
-type operationsTable struct{ gateway *Gateway }
+type operationsTable struct {
+	gateway *Gateway
+	// rereadAt is when the table is read again because the last read may lack what the
+	// operator has still to write again; zero if it does not.
+	rereadAt time.Time
+}
 
-func (o *operationsTable) read(ctx context.Context) (int64, error) {
+func (o *operationsTable) read(ctx context.Context) (revision.Version, error) {
 	sent := time.Now()
 	ops, version, err := o.gateway.store.Operations(ctx)
-	o.apply(ops, sent, sent, err == nil || version > 0)
+	o.rereadAt = o.gateway.state.restoredUntil(sent)
+	ops.Evacuations.Restored = !o.rereadAt.IsZero()
+	o.apply(ops, sent, sent, err == nil || !version.IsZero())
 	return version, err
 }
 
-func (o *operationsTable) watch(ctx context.Context, version int64) (int64, time.Duration, error) {
+func (o *operationsTable) watch(ctx context.Context, version revision.Version) (revision.Version, time.Duration, error) {
 	sent := time.Now()
+	if !o.rereadAt.IsZero() && sent.After(o.rereadAt) {
+		next, err := o.read(ctx)
+		return next, 0, err
+	}
 	ops, next, err := o.gateway.store.WatchOperations(ctx, version, watchHold)
-	responded := err == nil || next > version
+	responded := err == nil || next.NewerThan(version)
 	o.apply(ops, sent, confirmedAt(sent, !ops.empty()), responded)
 	return next, 0, err
 }
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"time"
+
+	"hawthornspar/core/revision"
 )
 
 // table is a table of the store that a watcher follows.
 type table interface {
 	// read applies the complete table, and returns the store's version of it.
-	read(context.Context) (version int64, err error)
+	read(context.Context) (version revision.Version, err error)
 	// watch applies the changes since a version, if there are any, and returns the version
 	// from which the next call continues, and the pause before it. With an error it
-	// returns 0, or a version if it only could not read the changes up to that.
-	watch(ctx context.Context, version int64) (next int64, pause time.Duration, err error)
+	// returns none, or a version if it only could not read the changes up to that.
+	watch(ctx context.Context, version revision.Version) (next revision.Version, pause time.Duration, err error)
 }
 
 // watcher reads a table of the store once, and its changes from then on. It reads the
@@ -22,9 +24,9 @@
 	table     table
 	timeout   time.Duration // after which a watch without a response is given up
 	store     *dependency
-	version   int64       // from which the next watch continues
-	known     bool        // whether version is known
-	onAttempt func(error) // called with the result of each step; nil for none
+	version   revision.Version // from which the next watch continues
+	known     bool             // whether version is known
+	onAttempt func(error)      // called with the result of each step; nil for none
 }
 
 func (w *watcher) loop(ctx context.Context) {
@@ -62,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
 	version, pause, err := w.table.watch(ctx, w.version)
-	if version > 0 {
+	if !version.IsZero() {
 		w.version = version
 	}
 	return pause, err
--- a/io/gateway/watch_test.go
+++ b/io/gateway/watch_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"hawthornspar/core/revision"
 )
 
 // historyStore knows which errors mean that the store's history is lost.
@@ -20,24 +22,24 @@
 // scriptedTable returns the results of watches in turn, and records the calls.
 type scriptedTable struct {
 	results []scriptedResult
-	calls   []int64 // versions of watches; -1 for a read
+	calls   []int64 // numbers of the versions of watches; -1 for a read
 }
 
 type scriptedResult struct {
-	version int64
-	err     error
+	number int64 // of the version
+	err    error
 }
 
-func (s *scriptedTable) read(context.Context) (int64, error) {
+func (s *scriptedTable) read(context.Context) (revision.Version, error) {
 	s.calls = append(s.calls, -1)
-	return 10, nil
+	return revision.Version{Number: 10}, nil
 }
 
-func (s *scriptedTable) watch(_ context.Context, version int64) (int64, time.Duration, error) {
-	s.calls = append(s.calls, version)
+func (s *scriptedTable) watch(_ context.Context, version revision.Version) (revision.Version, time.Duration, error) {
+	s.calls = append(s.calls, version.Number)
 	r := s.results[0]
 	s.results = s.results[1:]
-	return r.version, 0, r.err
+	return revision.Version{Number: r.number}, 0, r.err
 }
 
 var _ = Describe("watcher", func() {
--- a/io/storepath/relay.go
+++ b/io/storepath/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strings"
@@ -34,6 +35,7 @@
 		return
 	}
 	defer response.Body.Close()
+	copyEndToEnd(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
 	if _, err := io.Copy(w, response.Body); err != nil {
 		l.Log.V(1).Info("response of the store not forwarded", "to", r.RemoteAddr, "error", err.Error())
@@ -41,6 +43,23 @@
 	}
 }
 
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// copyEndToEnd copies the headers of the store's response that are meant for the VM that sent
+// the request.
+func copyEndToEnd(to, from http.Header) {
+	maps.Copy(to, from)
+	for _, named := range from.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		to.Del(name)
+	}
+}
+
 // abortResponse aborts a response that has begun, so that the other VM sees that it is
 // broken off. The head is sent first: without one, the other VM would take this one for lost.
 func abortResponse(w http.ResponseWriter) {
