--- a/core/quarantine/sound.go
+++ b/core/quarantine/sound.go
@@ -95,6 +95,9 @@
 	if len(s.incidents) < crashLimit {
 		return false
 	}
+	if s.sound.LiftedMs > s.known.LiftedMs {
+		return true
+	}
 	crashes := s.unrefuted(s.known)
 	if len(crashes) < crashLimit {
 		return false
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"hawthornspar/core/revision"
 )
 
 // KeyKind distinguishes what VMs share.
@@ -50,6 +52,9 @@
 	own         ownCrashes
 	writes      writeQueue
 	clock       storeClock
+	era         revision.Era          // of the last read
+	read        bool                  // Read was called
+	lostTrials  map[Feature]time.Time // that the store has lost, with the time to write them again
 	// unjudged is set if the evidence has changed since it was last judged, and
 	// nextEvidenceMs is when there will be more on the store's clock; 0 for never.
 	unjudged       bool
@@ -120,6 +125,7 @@
 	for _, trial := range c.Trials {
 		t.SetTrial(trial)
 	}
+	t.cancelRestore(c.Crashes)
 	for _, crash := range c.Crashes {
 		t.addCrash(crash)
 	}
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -167,10 +167,17 @@
 	return t
 }
 
-// SetTrial records a trial that was claimed, here or by another VM.
+// SetTrial records a trial that was claimed, here or by another VM. Trials that a store has
+// lost which has come back from a copy still count.
 func (t *Table) SetTrial(trial Trial) {
 	s := t.suspectOf(trial.Feature)
-	if !s.trial.Version.NewerThan(trial.Version) {
-		s.trial = trial
+	if s.trial.Version.NewerThan(trial.Version) {
+		return
 	}
+	if s.trial.Version.Era != trial.Version.Era && s.trial.StoreMs > trial.StoreMs {
+		s.trial.Version = trial.Version
+		return
+	}
+	s.trial = trial
+	delete(t.lostTrials, trial.Feature)
 }
--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -3,7 +3,10 @@
 // an era, and only versions of the same era can be compared by their numbers.
 package revision
 
-import "fmt"
+import (
+	"encoding/json"
+	"fmt"
+)
 
 // Era counts the times that the store has come back from an older copy of itself. It only
 // rises. 0 stands for a store that states no era, and for what was said before one was
@@ -36,6 +39,35 @@
 	return fmt.Sprintf("%d/%d", v.Era, v.Number)
 }
 
+// encodedVersion is a version of a store that states its era.
+type encodedVersion struct {
+	Era    Era   `json:"era"`
+	Number int64 `json:"number"`
+}
+
+// MarshalJSON implements json.Marshaler. Versions of a store that states no era are numbers, as
+// VMs of earlier versions of the program exchange them.
+func (v Version) MarshalJSON() ([]byte, error) {
+	if v.Era == 0 {
+		return json.Marshal(v.Number)
+	}
+	return json.Marshal(encodedVersion(v))
+}
+
+// UnmarshalJSON implements json.Unmarshaler. It returns an error of encoding/json if raw is
+// neither form.
+func (v *Version) UnmarshalJSON(raw []byte) error {
+	var number int64
+	if json.Unmarshal(raw, &number) == nil {
+		*v = Version{Number: number}
+		return nil
+	}
+	var e encodedVersion
+	err := json.Unmarshal(raw, &e)
+	*v = Version(e)
+	return err
+}
+
 // Continues returns nil if a response of the given era continues what was read at v, or a
 // StepBackError if the store has come back from a copy in between: the changes since v
 // cannot be told from those of another history.
--- a/core/revision/revision_test.go
+++ b/core/revision/revision_test.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"encoding/json"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -40,6 +41,27 @@
 	})
 })
 
+var _ = Describe("Version between VMs", func() {
+	for _, c := range []struct {
+		version Version
+		encoded string
+	}{{Version{0, 7}, "7"}, {Version{2, 7}, `{"era":2,"number":7}`}} {
+		It("is understood by VMs of all versions of the program as far as the store states no era: "+c.encoded, func() {
+			raw, err := json.Marshal(c.version)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(raw)).To(Equal(c.encoded))
+			var decoded Version
+			Expect(json.Unmarshal(raw, &decoded)).To(Succeed())
+			Expect(decoded).To(Equal(c.version))
+		})
+	}
+
+	It("is an error if it is malformed", func() {
+		var v Version
+		Expect(json.Unmarshal([]byte(`"seven"`), &v)).NotTo(Succeed())
+	})
+})
+
 var _ = Describe("Tracker", func() {
 	type step struct {
 		era         Era
--- a/io/gateway/crash_state.go
+++ b/io/gateway/crash_state.go
@@ -96,13 +96,21 @@
 	s.quarantine.Apply(c, time.Now())
 }
 
-// replaceCrashes applies the complete content of the store at a time on its clock.
-func (s *state) replaceCrashes(c quarantine.Change, ms int64) {
+// readCrashes applies the complete content of the store.
+func (s *state) readCrashes(c quarantine.Change, at StoreTime) quarantine.Restored {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.quarantine.SetVMs(s.vmCount)
-	s.quarantine.SetStoreClock(ms, time.Now())
-	s.quarantine.Replace(c, time.Now())
+	s.quarantine.SetStoreClock(at.Ms, time.Now())
+	return s.quarantine.Read(c, at.Version.Era, time.Now())
+}
+
+// lostTrials returns the trials that the store has lost and that are to be claimed again now,
+// and when the next ones are; zero for none.
+func (s *state) lostTrials() ([]quarantine.Trial, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.LostTrials(time.Now())
 }
 
 // expireCrashes forgets old crashes.
--- a/io/gateway/crash_sync.go
+++ b/io/gateway/crash_sync.go
@@ -33,7 +33,7 @@
 func (c *crashTable) read(ctx context.Context) (revision.Version, error) {
 	change, at, err := c.gateway.store.Crashes(ctx)
 	if err == nil {
-		c.gateway.replaceCrashes(change, at)
+		c.gateway.readCrashes(change, at)
 	}
 	return at.Version, err
 }
@@ -51,9 +51,12 @@
 	return at.Version, crashPause, nil
 }
 
-// replaceCrashes applies the complete content of the store.
-func (g *Gateway) replaceCrashes(c quarantine.Change, at StoreTime) {
-	g.state.replaceCrashes(c, at.Ms)
+// readCrashes applies the complete content of the store.
+func (g *Gateway) readCrashes(c quarantine.Change, at StoreTime) {
+	if r := g.state.readCrashes(c, at); r.SteppedBack {
+		g.metrics.Add("store_rows_restored", "crashReport", r.Reports)
+		g.log.Info("crashes kept over a step back of the store", "era", at.Version.Era, "crashes", r.Crashes, "reportsLost", r.Reports, "trialsLost", r.Trials)
+	}
 	g.wakeCrashWriter()
 	g.logVerdicts()
 }
@@ -112,9 +115,15 @@
 func (c *crashWriter) writeAll(ctx context.Context) {
 	for ctx.Err() == nil {
 		pending, next := c.gateway.state.pendingCrashes(maxCrashWrites)
+		lost, nextLost := c.gateway.state.lostTrials()
+		if next.IsZero() || !nextLost.IsZero() && nextLost.Before(next) {
+			next = nextLost
+		}
 		switch {
 		case len(pending) > 0:
 			sleep(ctx, c.write(ctx, pending))
+		case len(lost) > 0:
+			sleep(ctx, c.restoreTrial(ctx, lost[0]))
 		case next.IsZero():
 			return
 		default:
@@ -123,6 +132,21 @@
 	}
 }
 
+// restoreTrial claims a trial again that the store has lost, without running it, and returns
+// the pause that follows.
+func (c *crashWriter) restoreTrial(ctx context.Context, lost quarantine.Trial) time.Duration {
+	current, claimed, err := c.gateway.store.ClaimTrial(ctx, lost, lost.Version)
+	if err != nil {
+		c.gateway.log.V(1).Info("trial not written again", "feature", lost.Feature, "error", err.Error())
+		return jitter(failurePause)
+	}
+	c.gateway.state.setTrial(current)
+	if claimed {
+		c.gateway.metrics.Increment("store_rows_restored", "trial")
+	}
+	return crashPause
+}
+
 // write writes pending changes, and returns the pause that follows. Changes that the
 // store rejects are dropped: they would hold up those behind them.
 func (c *crashWriter) write(ctx context.Context, pending []quarantine.Write) time.Duration {
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -50,8 +50,12 @@
 func (r *Registry) Handler() http.Handler { return r.handler }
 
 // Increment adds one to the named counter, with the given value of its reason
-// label. It creates the counter on first use, and does nothing if that fails.
-func (r *Registry) Increment(counter, reason string) {
+// label.
+func (r *Registry) Increment(counter, reason string) { r.Add(counter, reason, 1) }
+
+// Add adds n to the named counter, with the given value of its reason label. It
+// creates the counter on first use, and does nothing if that fails.
+func (r *Registry) Add(counter, reason string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.counters[counter]
@@ -63,7 +67,7 @@
 		c = created
 		r.counters[counter] = c
 	}
-	c.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+	c.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("reason", reason)))
 }
 
 // latencyBuckets are the upper bounds of the buckets of latency histograms, in
