--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -9,23 +9,24 @@
 
 // account is this VM's state of one client account.
 type account struct {
-	prepaid          int64
-	limited          bool             // false when the account has no prepaid budget
-	granted          int64            // tokens drawn or borrowed, less those returned
-	spent            int64            // tokens used by completed requests
-	lent             int64            // tokens lent to other VMs, less those repaid
-	reserved         int64            // tokens reserved by running requests
-	bounds           []bound          // one for each write that the store may have as its latest
-	drawnTotal       int64            // tokens drawn by all VMs, as last read
-	unaccountedTotal int64            // drawn tokens that crashed VMs may have spent, as last read
-	version          revision.Version // of the total's row; zero when it does not exist
-	totalRead        bool             // the total's row has been read
-	tokenRate        float64          // smoothed tokens that requests reserve per second
-	rateUpdated      time.Time
-	reservedSince    int64         // tokens reserved since rateUpdated
-	waiting          int64         // tokens that waiting requests need
-	waitingRequests  map[int64]int // number of waiting requests, by the tokens that each needs
-	otherVMs         otherVMs
+	prepaid         int64
+	limited         bool             // false when the account has no prepaid budget
+	granted         int64            // tokens drawn or borrowed, less those returned
+	spent           int64            // tokens used by completed requests
+	lent            int64            // tokens lent to other VMs, less those repaid
+	reserved        int64            // tokens reserved by running requests
+	bounds          []bound          // one for each write that the store may have as its latest
+	borrowed        int64            // of the granted ones, those borrowed from other VMs
+	declared        bool             // since the store's last step back
+	total           Total            // as last read
+	version         revision.Version // of the total's row; zero when it does not exist
+	totalRead       bool             // the total's row has been read
+	tokenRate       float64          // smoothed tokens that requests reserve per second
+	rateUpdated     time.Time
+	reservedSince   int64         // tokens reserved since rateUpdated
+	waiting         int64         // tokens that waiting requests need
+	waitingRequests map[int64]int // number of waiting requests, by the tokens that each needs
+	otherVMs        otherVMs
 	// conflicts counts the conflicts in a row over the account's total, and
 	// deferredAdjustments the next transactions that leave the total alone
 	// because of them.
--- a/core/escrow/budgets.go
+++ b/core/escrow/budgets.go
@@ -76,8 +76,7 @@
 	ownRowWritten bool             // the VM's row was written by this incarnation
 	written       VMAllocations    // the VM's row as last known to have been written
 	closing       bool             // Close was called
-	previous      VMAllocations    // of the previous incarnation, until the first write
-	previousEndMs int64            // store's clock by which the previous incarnation had ended
+	previous      predecessor      // until the first write
 	ownVersion    revision.Version // of the VM's row; zero when it does not exist
 	pending       *Transaction     // planned, with an unknown outcome
 	clock         storeClock
@@ -85,6 +84,7 @@
 	dirty         bool      // something changed since then
 	homeVMs       int       // number of home VMs of the accounts
 	isHome        bool      // this VM is one of them
+	stepBackState
 }
 
 // storeClock estimates the store's clock from its last reading.
@@ -213,7 +213,7 @@
 	if a == nil {
 		return Balance{}
 	}
-	return Balance{Granted: a.granted, Committed: a.committed(), Available: a.available(now), Undrawn: a.prepaid - a.drawnTotal, OtherVMsFree: a.otherVMs.free, Movable: b.movableTotal(name, now)}
+	return Balance{Granted: a.granted, Committed: a.committed(), Available: a.available(now), Undrawn: b.undrawn(a), OtherVMsFree: a.otherVMs.free, Movable: b.movableTotal(name, now)}
 }
 
 // AvailableIn returns how long it takes until that many tokens may be reserved
--- a/core/escrow/home_loan.go
+++ b/core/escrow/home_loan.go
@@ -54,6 +54,7 @@
 		r.Returned = a.granted - a.committed()
 	}
 	a.granted -= r.Spent + r.Returned
+	a.borrowed -= r.Spent + r.Returned
 	a.spent -= r.Spent
 	return r
 }
@@ -100,6 +101,7 @@
 func (b *Budgets) UndoRepay(name string, r Repayment) {
 	a := b.account(name)
 	a.granted += r.Spent + r.Returned
+	a.borrowed += r.Spent + r.Returned
 	a.spent += r.Spent
 }
 
--- a/core/escrow/lend.go
+++ b/core/escrow/lend.go
@@ -52,6 +52,7 @@
 func (b *Budgets) AddLoan(name string, tokens int64) {
 	a := b.account(name)
 	a.granted += tokens
+	a.borrowed += tokens
 	for i := range a.bounds {
 		a.bounds[i].allocation.addBorrowed(tokens)
 	}
--- a/core/escrow/move.go
+++ b/core/escrow/move.go
@@ -15,10 +15,10 @@
 
 // Limits of moves of tokens from the rows of other VMs.
 const (
-	// movesPerTransaction bounds the rows from which one transaction moves
-	// tokens. With totalsPerTransaction changes of totals and the VM's own row, a
+	// MaxMoves bounds the rows from which one transaction moves
+	// tokens. With MaxTotals changes of totals and the VM's own row, a
 	// transaction stays within the 100 entries that the store accepts.
-	movesPerTransaction = 4
+	MaxMoves = 4
 	// staleRowAge is the time since the last write of a row after which all its
 	// movable tokens may be moved. A home VM in use writes its row every few
 	// hundred milliseconds.
@@ -65,6 +65,9 @@
 	for vm, row := range b.rows {
 		m := movableTokens{vm: vm, tokens: row.VMAllocations.Accounts[name].movable()}
 		m.stale = b.clock.lowerBound(now)-row.VMAllocations.StoreMs >= staleRowAge.Milliseconds()
+		if !b.movableNow(row.VMAllocations, m.stale) {
+			continue
+		}
 		if !m.stale {
 			m.tokens /= recentRowDivisor
 		}
@@ -108,7 +111,7 @@
 
 // takeMovable takes the wanted number of tokens from the first rows of a list: all
 // movable tokens of stale rows, and only what is still missing from recent ones.
-// With the rows of the moves in chosen, they are at most movesPerTransaction.
+// With the rows of the moves in chosen, they are at most MaxMoves.
 func takeMovable(list []movableTokens, want int64, chosen []Move) []movableTokens {
 	var taken []movableTokens
 	rows := len(chosen)
@@ -117,7 +120,7 @@
 			break
 		}
 		if !slices.ContainsFunc(chosen, func(c Move) bool { return c.VM == m.vm }) {
-			if rows == movesPerTransaction {
+			if rows == MaxMoves {
 				continue
 			}
 			rows++
@@ -225,7 +228,7 @@
 	if a == nil {
 		return false
 	}
-	return tokens <= max(a.granted-a.committed(), 0)+max(a.prepaid-a.drawnTotal, 0)+b.movableTotal(name, now)
+	return tokens <= max(a.granted-a.committed(), 0)+max(b.undrawn(a), 0)+b.movableTotal(name, now)
 }
 
 // movableTotal returns the tokens of an account that one transaction may move.
--- a/core/escrow/move_test.go
+++ b/core/escrow/move_test.go
@@ -213,7 +213,7 @@
 		f.mover.AddWaiting("acme", 4*prepaidForMoves)
 		f.mover.AddWaiting("acme", 1)
 		moves := f.mover.Plan(f.now).Moves
-		Expect(moves).To(HaveLen(movesPerTransaction))
+		Expect(moves).To(HaveLen(MaxMoves))
 		Expect([]string{moves[0].VM, moves[1].VM, moves[2].VM}).To(Equal([]string{"other1", "other3", "other5"}))
 	})
 })
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -15,6 +15,9 @@
 	if b.pending != nil || b.closing && b.dirty {
 		return true
 	}
+	if b.undeclared || b.maySettle(now) {
+		return true
+	}
 	if !b.isHome {
 		return now.Sub(b.plannedAt) >= b.policy.ReportInterval && b.returnable()
 	}
@@ -32,7 +35,7 @@
 // mayCover reports whether a write may make tokens available to waiting requests.
 func (b *Budgets) mayCover(name string, a *account, now time.Time) bool {
 	free := a.granted - a.committed()
-	return a.drawnTotal < a.prepaid || free > a.available(now) || len(b.chooseMoves(name, a, free, nil, now)) > 0
+	return b.undrawn(a) > 0 || free > a.available(now) || len(b.chooseMoves(name, a, free, nil, now)) > 0
 }
 
 // returnable reports whether a VM that is not a home VM has tokens to return to
@@ -41,7 +44,7 @@
 	if b.ownVersion.IsZero() {
 		return false
 	}
-	if len(b.previous.Accounts) > 0 {
+	if len(b.previous.row.Accounts) > 0 {
 		return true
 	}
 	for _, a := range b.accounts {
@@ -55,7 +58,7 @@
 // unbalanced reports whether an account's free tokens are far from the target.
 func (b *Budgets) unbalanced() bool {
 	for _, a := range b.accounts {
-		if a.limited && a.totalRead && a.adjustment(b.homeVMs, a.prepaid-a.drawnTotal) != 0 {
+		if a.limited && a.totalRead && a.adjustment(b.homeVMs, b.undrawn(a)) != 0 {
 			return true
 		}
 	}
@@ -68,16 +71,18 @@
 	if b.pending != nil {
 		return b.pending
 	}
-	t := &Transaction{Version: b.ownVersion}
+	t := &Transaction{Era: b.era, Version: b.ownVersion}
 	t.VMAllocations = VMAllocations{
 		Incarnation: b.incarnation, Address: b.address, Sequence: b.sequence + 1,
 		StoreMs: b.clock.lowerBound(now), Accounts: map[string]Allocation{},
+		Era: b.era, Previous: b.previousIncarnation(), Lost: b.lost(), Closed: b.closing && !b.undeclared,
 	}
-	for name, a := range b.accounts {
-		if a.limited && len(t.Totals) < totalsPerTransaction {
-			b.planAccount(t, name, a, now)
-		}
+	if b.undeclared {
+		b.planDeclaration(t, now)
+	} else {
+		b.planAccounts(t, now)
 	}
+	b.planMark(t, now)
 	b.deferredMoves = max(b.deferredMoves-1, 0)
 	b.sequence++
 	b.plannedAt = now
@@ -86,6 +91,16 @@
 	return t
 }
 
+// planAccounts adds the accounts' allocations and the changes of their totals to a
+// transaction.
+func (b *Budgets) planAccounts(t *Transaction, now time.Time) {
+	for name, a := range b.accounts {
+		if a.limited && len(t.Totals) < MaxTotals {
+			b.planAccount(t, name, a, now)
+		}
+	}
+}
+
 // planAccount adds an account's allocation and the change of its total to a
 // transaction, and moves of tokens for it. Returned tokens may not be spent from
 // now on; drawn and moved ones only after Applied.
@@ -93,9 +108,8 @@
 	a.updateRate(now)
 	grant, reclaimed, unaccounted := int64(0), int64(0), int64(0)
 	if a.totalRead {
-		reclaimed = b.previous.reclaimable(name, b.previousEndMs)
-		unaccounted = b.previous.unaccounted(name, b.previousEndMs)
-		grant = a.adjustment(b.homeVMs, a.prepaid-a.drawnTotal+reclaimed)
+		reclaimed, unaccounted = b.previous.outcome(name)
+		grant = a.adjustment(b.homeVMs, b.undrawn(a)+reclaimed)
 	}
 	if a.deferredAdjustments > 0 && !a.drawsForWaiting() {
 		a.deferredAdjustments--
@@ -108,7 +122,7 @@
 		grant = -a.surplus()
 	}
 	if grant != 0 || reclaimed != 0 || unaccounted != 0 {
-		total := Total{Drawn: a.drawnTotal - reclaimed + grant, Unaccounted: a.unaccountedTotal + unaccounted}
+		total := b.totalAfter(a, grant-reclaimed, 0, unaccounted)
 		t.Totals = append(t.Totals, TotalChange{Account: name, Version: a.version, Total: total, Grant: grant, Reclaimed: reclaimed, Undrawn: a.prepaid - total.Drawn})
 	}
 	if grant < 0 {
@@ -118,7 +132,7 @@
 	if a.totalRead {
 		moved = b.planMoves(t, name, a, a.granted-a.committed()+max(grant, 0), now)
 	}
-	allocation := a.allocation(max(grant, 0)+moved, b.homeVMs)
+	allocation := a.allocation(max(grant, 0)+moved, b.homeVMs, b.undrawn(a))
 	t.VMAllocations.Accounts[name] = allocation
 	a.bounds = append(a.bounds, bound{sequence: t.VMAllocations.Sequence, at: now, allocation: allocation})
 }
@@ -160,17 +174,17 @@
 func (a *account) drawsForWaiting() bool { return a.waiting > a.granted-a.committed() }
 
 // allocation returns the account's allocation after a grant of more tokens.
-func (a *account) allocation(grant int64, homeVMs int) Allocation {
+func (a *account) allocation(grant int64, homeVMs int, undrawn int64) Allocation {
 	committed := a.committed()
 	granted := a.granted + grant
 	free := max(granted-committed, 0)
-	unspent := max(a.prepaid-a.drawnTotal, 0) + free + a.otherVMs.free
+	unspent := max(undrawn, 0) + free + a.otherVMs.free
 	burst := int64(burstShare*float64(unspent)*a.weight(homeVMs)) + a.waiting
 	fast := max(fastRateFactor*a.tokenRate, float64(free)/fastDrainTime.Seconds())
 	burst = min(burst, free)
 	offline := min(max(int64(offlineShare*float64(free)), int64(a.tokenRate*offlineTime.Seconds()), burst), free)
 	return Allocation{
-		Granted: granted, Spent: a.spent, Lent: a.lent, Committed: committed, TokenRate: int64(a.tokenRate),
+		Granted: granted, Borrowed: a.borrowed, Spent: a.spent, Lent: a.lent, Committed: committed, TokenRate: int64(a.tokenRate),
 		Burst: burst, OfflineLimit: offline, DeferredBurst: int64(a.tokenRate * deferredBurstTime.Seconds()), SlowPerSecond: int64(slowRateFactor * a.tokenRate), FastPerSecond: int64(fast),
 	}
 }
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -28,6 +28,9 @@
 	allocations map[string]VersionedAllocations
 	delayed     []delayedTransaction
 	moves       int // rows from which tokens were moved
+	marks       map[revision.Era]VersionedMark
+	over        map[revision.Era]bool   // eras that are over by a row
+	registered  map[string]registration // by VM
 }
 
 // delayedTransaction is a transaction that has not reached the store yet.
@@ -46,7 +49,7 @@
 	for _, m := range t.Moves {
 		conditionsHold = conditionsHold && s.allocations[m.VM].Version == m.Version
 	}
-	if !conditionsHold {
+	if !conditionsHold || !s.marksAllow(t) {
 		out.Current = s.rowsOf(vm, t)
 		return out
 	}
@@ -57,15 +60,18 @@
 	}
 	for _, m := range t.Moves {
 		s.allocations[m.VM] = VersionedAllocations{VMAllocations: copyOf(m.VMAllocations), Version: s.version}
-		s.moves++
+		if len(m.Tokens) > 0 {
+			s.moves++
+		}
 	}
+	s.applyMark(t)
 	out.Applied, out.Version = true, s.version
 	return out
 }
 
 // rowsOf returns the rows to which a transaction's conditions refer.
 func (s *store) rowsOf(vm string, t *Transaction) Snapshot {
-	c := Snapshot{Totals: map[string]VersionedTotal{}, Allocations: map[string]VersionedAllocations{}}
+	c := s.emptySnapshot()
 	names := []string{vm}
 	for _, m := range t.Moves {
 		names = append(names, m.VM)
@@ -93,7 +99,7 @@
 }
 
 func (s *store) snapshot() Snapshot {
-	c := Snapshot{Totals: map[string]VersionedTotal{}, Allocations: map[string]VersionedAllocations{}}
+	c := s.emptySnapshot()
 	for k, v := range s.totals {
 		c.Totals[k] = v
 	}
@@ -123,6 +129,7 @@
 	used             map[string]int64 // by completed requests, and by those of crashed VMs in full
 	starts           int
 	storeUnreachable bool
+	drills           *drills // nil for a store that states no era
 }
 
 func newFleet(seed uint64) *fleet {
@@ -356,7 +363,7 @@
 // exchange reads the store if necessary and sends it the next transaction. The
 // request or the response may be lost or delayed.
 func (f *fleet) exchange(v *vm) {
-	if f.storeUnreachable || v.frozen {
+	if f.storeUnreachable || v.frozen || f.drills != nil && !f.register(v) {
 		return
 	}
 	if !v.budgets.Ready() || v.budgets.HasUnreadTotals() || f.random.IntN(6) == 0 {
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -24,6 +24,10 @@
 	Drawn int64 `json:"drawn"` // tokens drawn by VMs, less those returned
 	// Unaccounted are the drawn tokens that crashed VMs may or may not have spent.
 	Unaccounted int64 `json:"unknown"`
+	// Era is the store's era of the last write, and Returned the tokens that VMs have returned
+	// in it, less those drawn again, while the group is not settled.
+	Era      revision.Era `json:"era,omitempty"`
+	Returned int64        `json:"returned,omitempty"`
 }
 
 // VMAllocations is the row of a VM with its allocations.
@@ -33,6 +37,15 @@
 	Sequence    int64                 `json:"sequence"` // number of the VM's write
 	StoreMs     int64                 `json:"storeMs"`  // lower bound of the store's clock at the write
 	Accounts    map[string]Allocation `json:"accounts"`
+	// Era is the store's era in which the row was declared: its VM, or a survivor of it, has
+	// written it from its memory since the store's last step back.
+	Era revision.Era `json:"era,omitempty"`
+	// Previous is the incarnation whose row this one has taken over; empty for none. Lost is
+	// set if that, or one before, held tokens over a step back and did not declare them.
+	Previous string `json:"previous,omitempty"`
+	Lost     bool   `json:"lost,omitempty"`
+	// Closed is set if the VM is shutting down and has returned its free tokens.
+	Closed bool `json:"closed,omitempty"`
 }
 
 // Allocation is a VM's part of one account's budget. Fields that are 0 are left out
@@ -40,6 +53,7 @@
 type Allocation struct {
 	Granted       int64 `json:"granted"`             // tokens drawn or borrowed, less those returned
 	Spent         int64 `json:"spent,omitempty"`     // tokens used by completed requests
+	Borrowed      int64 `json:"borrowed,omitempty"`  // of the granted ones, those that other VMs have lent
 	Lent          int64 `json:"lent,omitempty"`      // tokens lent to other VMs, less those repaid
 	Committed     int64 `json:"committed,omitempty"` // spent, lent, and reserved by running requests
 	Burst         int64 `json:"burst,omitempty"`     // tokens that may be committed on top of Committed immediately
@@ -52,6 +66,9 @@
 	OfflineLimit int64 `json:"offline,omitempty"`
 }
 
+// net returns the tokens that have come from the account's total, or from rows of other VMs.
+func (a Allocation) net() int64 { return a.Granted - a.Borrowed }
+
 // free returns the tokens that are neither spent nor lent nor reserved.
 func (a Allocation) free() int64 { return max(a.Granted-a.Committed, 0) }
 
@@ -140,6 +157,9 @@
 type Snapshot struct {
 	Totals      map[string]VersionedTotal       // by account
 	Allocations map[string]VersionedAllocations // by VM
+	Mark        VersionedMark                   // of the store's era; zero if there is none yet
+	EarlierMark bool                            // there is a mark of an earlier era
+	SettledEra  revision.Era                    // last era whose mark is settled; 0 for none
 	Era         revision.Era                    // of the store
 }
 
@@ -149,6 +169,24 @@
 	Version revision.Version
 }
 
+// Mark is the row of a group that the first transaction of an era writes.
+type Mark struct {
+	BeganMs int64 `json:"beganMs"` // store's clock at the first write of the era
+	// SteppedBack is set if a VM that has written to the group has run since it was last settled,
+	// and the store has stepped back since. Rows may not show that.
+	SteppedBack bool `json:"steppedBack,omitempty"`
+	// Settled is set once all VMs that may hold tokens have declared them, or these are written
+	// off. Uncertain is set then if some were.
+	Settled   bool `json:"settled,omitempty"`
+	Uncertain bool `json:"uncertain,omitempty"`
+}
+
+// VersionedMark is a mark with its version in the store.
+type VersionedMark struct {
+	Mark    Mark
+	Version revision.Version
+}
+
 // VersionedAllocations is a VM's row with its version in the store.
 type VersionedAllocations struct {
 	VMAllocations VMAllocations
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -9,17 +9,35 @@
 	"hawthornspar/core/revision"
 )
 
-// totalsPerTransaction keeps a transaction, with a condition and a change for
-// each row, within the 100 entries that the store accepts.
-const totalsPerTransaction = 45
+// MaxTotals keeps a transaction, with a condition and a change for
+// each row, and those for its era, within the 100 entries that the store accepts.
+const MaxTotals = 40
 
 // Transaction is one atomic change of the store. It is applied only if all its
 // rows still have the given versions.
 type Transaction struct {
+	Era           revision.Era // in which it was decided; it must not be applied in a later one
+	Mark          *MarkChange  // nil for no change
 	Totals        []TotalChange
 	Moves         []Move           // from the rows of other VMs
 	VMAllocations VMAllocations    // new content of the VM's row
 	Version       revision.Version // required of the VM's row; 0 when it must not exist
+	// Declaration is set if the transaction declares what the VM holds over a step back.
+	Declaration *Declaration
+}
+
+// Declaration sums up in tokens what a VM declares, for logs.
+type Declaration struct {
+	Kept    int64 // granted to the VM, and still so
+	GivenUp int64 // granted to the VM, but perhaps moved away by others
+	Lost    int64 // of those kept, those of which the store knew nothing; negative if it showed more
+	Rows    int   // rows of other VMs that are written again as this VM has seen them
+}
+
+// MarkChange replaces the mark of a transaction's era.
+type MarkChange struct {
+	Mark    Mark
+	Version revision.Version // required of the mark; zero when it must not exist
 }
 
 // TotalChange replaces the total of one account.
@@ -30,11 +48,24 @@
 	Grant     int64 // tokens that the VM draws; negative when it returns them
 	Reclaimed int64 // tokens reclaimed from the VM's previous incarnation
 	Undrawn   int64 // tokens that no VM has drawn once the change is applied
+	// Declared are the tokens that VMs hold beyond what a store showed that has come back from
+	// a copy; negative if it showed more. WrittenOff are tokens that VMs that did not declare
+	// may have drawn.
+	Declared, WrittenOff int64
 }
 
-// SetSnapshot records a snapshot of all rows of the accounts' group.
-func (b *Budgets) SetSnapshot(s Snapshot) {
+// SetSnapshot records a snapshot of all rows of the accounts' group. It ignores one of an
+// earlier era and returns false then.
+func (b *Budgets) SetSnapshot(s Snapshot) bool {
+	if s.Era < b.era {
+		return false
+	}
+	b.StepBack(s.Era)
 	b.snapshot = s
+	if b.firstReadMs == 0 {
+		b.firstReadMs = b.clock.ms
+	}
+	b.recordMark(s.Mark)
 	b.recordRows(s)
 	b.recordTotals(s)
 	for name, a := range b.accounts {
@@ -49,16 +80,39 @@
 			a.otherVMs.tokenRate += float64(allocation.TokenRate)
 		}
 	}
+	return true
+}
+
+// WrittenOff returns the tokens of all accounts that the transaction writes off.
+func (t *Transaction) WrittenOff() int64 {
+	tokens := int64(0)
+	for _, c := range t.Totals {
+		tokens += c.WrittenOff
+	}
+	return tokens
 }
 
 // TakeOver takes over the row of the previous incarnation. version is the row's
 // version, 0 when there is none; the previous incarnation had ended when the
 // store's clock showed previousEndMs.
+//
+// After a step back of the store, row is what the store has of this VM's row, which a VM that
+// ran through it declares anew.
 func (b *Budgets) TakeOver(row VMAllocations, version revision.Version, previousEndMs int64) {
-	b.previousEndMs = previousEndMs
-	b.previous = row
-	b.sequence = row.Sequence
 	b.ownVersion = version
+	if b.ranThroughStepBack() || row.Incarnation == b.incarnation { // it was written late
+		b.restore(row)
+		return
+	}
+	if b.before == nil && b.sequence == 0 {
+		b.since = b.era
+	}
+	trusted := version.IsZero() || b.trusts(row)
+	if !trusted && !b.waitedForSettlement() {
+		return
+	}
+	b.previous = predecessor{row: row, endMs: previousEndMs, lost: !trusted}
+	b.sequence = max(b.sequence, row.Sequence)
 	b.ready = true
 	b.dirty = true
 	for name, allocation := range row.Accounts {
@@ -74,7 +128,7 @@
 func (b *Budgets) recordTotal(name string, t Total, version revision.Version) {
 	a := b.account(name)
 	if !a.totalRead || !a.version.NewerThan(version) {
-		a.drawnTotal, a.unaccountedTotal, a.version, a.totalRead = t.Drawn, t.Unaccounted, version, true
+		a.total, a.version, a.totalRead = t, version, true
 	}
 }
 
@@ -97,6 +151,9 @@
 		return
 	}
 	b.applyGrants(t, version)
+	if t.Mark != nil {
+		b.recordMark(VersionedMark{Mark: t.Mark.Mark, Version: version})
+	}
 	for _, c := range t.Totals {
 		b.recordTotal(c.Account, c.Total, version)
 	}
@@ -111,7 +168,7 @@
 	b.pending = nil
 	b.ownVersion = version
 	b.written = t.VMAllocations
-	b.previous = VMAllocations{}
+	b.recordDeclaration(t)
 	b.ownRowWritten = true
 	for _, c := range t.Totals {
 		a := b.accounts[c.Account]
@@ -156,6 +213,7 @@
 	if own.VMAllocations.Incarnation == b.incarnation && own.VMAllocations.Sequence == t.VMAllocations.Sequence {
 		b.applyGrants(t, own.Version)
 		b.adoptMoves(own)
+		b.recordMark(c.Mark)
 		b.recordRows(c)
 		b.recordTotals(c)
 		return true
@@ -166,13 +224,16 @@
 	b.deferMoves(t, c)
 	switch {
 	case own.Version == b.ownVersion:
+	case b.undeclared:
+		b.restored, b.ownVersion = own.VMAllocations, own.Version
 	case !b.ownRowWritten:
-		b.TakeOver(own.VMAllocations, own.Version, b.previousEndMs)
+		b.TakeOver(own.VMAllocations, own.Version, b.previous.endMs)
 	case own.VMAllocations.Incarnation == b.incarnation && own.VMAllocations.Sequence == b.written.Sequence:
 		b.adoptMoves(own)
 	default:
 		return false
 	}
+	b.recordMark(c.Mark)
 	b.recordRows(c)
 	b.recordTotals(c)
 	b.dirty = true
--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -6,13 +6,25 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 )
 
 // Era counts the times that the store has come back from an older copy of itself. It only
-// rises. 0 stands for a store that states no era, and for what was said before one was
-// stated.
+// rises. The zero value stands for a store that states no era, and for what was said before one
+// was stated; a stated one is StatedEra.
 type Era int64
 
+// StatedEra returns the era of a store that states a number, from 0 on.
+func StatedEra(number int64) Era { return Era(number + 1) }
+
+// String implements fmt.Stringer: the number that the store states.
+func (e Era) String() string {
+	if e == 0 {
+		return "none"
+	}
+	return strconv.FormatInt(int64(e)-1, 10)
+}
+
 // Version is a version of the store's content. The zero value is none.
 type Version struct {
 	Era    Era
@@ -34,9 +46,9 @@
 // String implements fmt.Stringer. Versions of a store that states no era are plain numbers.
 func (v Version) String() string {
 	if v.Era == 0 {
-		return fmt.Sprint(v.Number)
+		return strconv.FormatInt(v.Number, 10)
 	}
-	return fmt.Sprintf("%d/%d", v.Era, v.Number)
+	return v.Era.String() + "/" + strconv.FormatInt(v.Number, 10)
 }
 
 // encodedVersion is a version of a store that states its era.
@@ -83,7 +95,7 @@
 
 // Error implements error.
 func (e *StepBackError) Error() string {
-	return fmt.Sprintf("the store has gone from era %d to era %d", e.From, e.To)
+	return fmt.Sprintf("the store has gone from era %s to era %s", e.From, e.To)
 }
 
 // OutdatedError reports a response of an era that is over, which was late on its way or
@@ -92,7 +104,7 @@
 
 // Error implements error.
 func (e *OutdatedError) Error() string {
-	return fmt.Sprintf("response of era %d in era %d", e.Response, e.Known)
+	return fmt.Sprintf("response of era %s in era %s", e.Response, e.Known)
 }
 
 // Tracker holds the latest era that the store has stated. The zero value knows none. It is
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"hawthornspar/core/escrow"
@@ -110,11 +111,11 @@
 	budgets := b.group.budgets
 	budgets.SetStoreClock(storeMs, time.Now())
 	own := snapshot.Allocations[b.gateway.settings.Name]
-	budgets.SetSnapshot(snapshot)
-	if !budgets.Ready() {
-		budgets.TakeOver(own.VMAllocations, own.Version, storeMs-requestedAt.Sub(b.gateway.started).Milliseconds())
-		b.gateway.log.Info("budgets taken over", "group", b.group.number, "version", own.Version, "accounts", len(own.VMAllocations.Accounts))
+	if !budgets.SetSnapshot(snapshot) || budgets.Ready() {
+		return
 	}
+	budgets.TakeOver(own.VMAllocations, own.Version, storeMs-requestedAt.Sub(b.gateway.started).Milliseconds())
+	b.gateway.log.Info("budgets taken over", "group", b.group.number, "version", own.Version.String(), "accounts", len(own.VMAllocations.Accounts), "ready", budgets.Ready(), "declare", !budgets.Settlement().Declared)
 }
 
 // write sends the transaction that is due.
@@ -163,12 +164,26 @@
 		b.gateway.log.Info("another incarnation has taken over this VM's budgets")
 	}
 	b.group.notifyUpdate()
+	b.logTransaction(t, o.Applied)
+}
+
+// logTransaction logs what a transaction has changed, and how far the group has come since the
+// store's last step back. The caller holds the state's lock.
+func (b *budgetSyncer) logTransaction(t *escrow.Transaction, applied bool) {
+	log, sequence := b.gateway.log, t.VMAllocations.Sequence
 	for _, c := range t.Totals {
-		b.gateway.log.Info("budget drawn", "account", c.Account, "applied", o.Applied, "tokens", c.Grant, "reclaimed", c.Reclaimed, "unaccounted", c.Total.Unaccounted, "left", c.Undrawn,
-			"spent", t.VMAllocations.Accounts[c.Account].Spent, "sequence", t.VMAllocations.Sequence)
+		log.Info("budget drawn", "account", c.Account, "applied", applied, "tokens", c.Grant, "reclaimed", c.Reclaimed, "declared", c.Declared, "writtenOff", c.WrittenOff,
+			"unaccounted", c.Total.Unaccounted, "left", c.Undrawn, "spent", t.VMAllocations.Accounts[c.Account].Spent, "sequence", sequence)
 	}
 	for _, m := range t.Moves {
-		b.gateway.log.Info("budget moved", "from", m.VM, "applied", o.Applied, "tokens", m.Tokens, "sequence", t.VMAllocations.Sequence)
+		log.Info("budget moved", "from", m.VM, "applied", applied, "tokens", m.Tokens, "sequence", sequence)
+	}
+	if t.Declaration != nil && applied {
+		b.gateway.recordDeclaration(b.group, *t.Declaration)
+	}
+	if t.Mark != nil && applied && t.Mark.Mark.Settled {
+		b.gateway.metrics.Increment("budget_groups_settled", strconv.FormatBool(!t.Mark.Mark.Uncertain))
+		log.Info("budgets settled", "group", b.group.number, "era", t.Era.String(), "afterMs", t.VMAllocations.StoreMs-t.Mark.Mark.BeganMs, "writtenOff", t.WrittenOff(), "uncertain", t.Mark.Mark.Uncertain)
 	}
 }
 
@@ -182,6 +197,10 @@
 	// sent while the store fails, and the tokens can be handed over to another
 	// VM instead.
 	for ctx.Err() == nil && !b.group.storeFailing.Load() {
+		if err := b.read(ctx); err != nil { // after a step back of the store
+			b.failClose(err)
+			return
+		}
 		s.mu.Lock()
 		due := b.group.budgets.Due(time.Now())
 		s.mu.Unlock()
@@ -189,9 +208,14 @@
 			return
 		}
 		if err := b.write(ctx); err != nil {
-			b.group.storeFailing.Store(true)
-			b.gateway.log.Info("budget not returned", "group", b.group.number, "error", err.Error())
+			b.failClose(err)
 			return
 		}
 	}
 }
+
+// failClose records that the store does not accept the free tokens.
+func (b *budgetSyncer) failClose(err error) {
+	b.group.storeFailing.Store(true)
+	b.gateway.log.Info("budget not returned", "group", b.group.number, "error", err.Error())
+}
--- a/io/gateway/crash_sync.go
+++ b/io/gateway/crash_sync.go
@@ -54,8 +54,9 @@
 // readCrashes applies the complete content of the store.
 func (g *Gateway) readCrashes(c quarantine.Change, at StoreTime) {
 	if r := g.state.readCrashes(c, at); r.SteppedBack {
-		g.metrics.Add("store_rows_restored", "crashReport", r.Reports)
-		g.log.Info("crashes kept over a step back of the store", "era", at.Version.Era, "crashes", r.Crashes, "reportsLost", r.Reports, "trialsLost", r.Trials)
+		g.state.mu.Lock()
+		g.recordCrashesRestored(r)
+		g.state.mu.Unlock()
 	}
 	g.wakeCrashWriter()
 	g.logVerdicts()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -171,6 +171,8 @@
 		{"quarantined_features", g.state.quarantinedFeatures},
 		{"cold_endpoints", g.state.coldEndpoints},
 		{"evacuated_domains", g.state.evacuatedDomains},
+		{"store_era", g.state.storeEra},
+		{"unsettled_budget_groups", g.state.unsettledGroups},
 	} {
 		if err := g.metrics.RegisterGauge(gauge.name, gauge.read); err != nil {
 			return err
--- a/io/gateway/members.go
+++ b/io/gateway/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hawthornspar/core/escrow"
 	"hawthornspar/core/home"
 )
 
@@ -26,7 +27,7 @@
 	// can apply all of them.
 	registrationSpread = 1.5
 	// maxHomesWait bounds how long a VM is not ready because it cannot learn
-	// which VMs are home VMs.
+	// which VMs are home VMs, or its budgets may not be drawn yet.
 	maxHomesWait = 3 * time.Second
 	// sourceStore names the store as the source of the list of VMs.
 	sourceStore = "store"
@@ -64,8 +65,14 @@
 		return 0, err
 	}
 	m.storeMs, m.readAt = storeMs, time.Now()
+	vms = m.gateway.state.restoreMembers(vms, m.readAt)
 	m.gateway.updateMembers(home.Alive(vms), sourceStore)
-	if time.Since(m.lastRegistered) >= registerPeriod {
+	lost := m.gateway.state.steppedBackSince(m.lastRegistered)
+	if lost {
+		sleep(ctx, m.spread(len(vms)))
+		m.gateway.restoreAuthority(ctx)
+	}
+	if lost || time.Since(m.lastRegistered) >= registerPeriod {
 		if m.lastRegistered.IsZero() {
 			sleep(ctx, m.spread(len(vms)))
 		}
@@ -138,6 +145,7 @@
 		g.log.Info("home of budgets", "group", gr.number, "home", isHome, "homes", len(homes))
 	}
 	gr.budgets.SetHomes(len(homes), isHome)
+	gr.budgets.SetMembers(membersOf(g.state.members, homes))
 	gr.homes = home.OrderFor(g.settings.Name, others)
 	if !isHome && len(gr.homes) > 0 {
 		g.borrower.preconnect(gr.homes[0])
@@ -145,6 +153,15 @@
 	gr.wake()
 }
 
+// membersOf returns the VMs as the budgets of a group with the given home VMs need them.
+func membersOf(vms, homes []home.VM) []escrow.Member {
+	var members []escrow.Member
+	for _, v := range vms {
+		members = append(members, escrow.Member{Name: v.Name, Incarnation: v.Incarnation, Home: includesVM(homes, v.Name)})
+	}
+	return members
+}
+
 // membersKnown reports whether the list of VMs is known.
 func (s *state) membersKnown() bool {
 	s.mu.Lock()
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -117,7 +117,7 @@
 
 // serveReady handles readiness checks of the balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	knowsHomes := g.state.knowsHomes() || time.Since(g.started) > maxHomesWait
+	knowsHomes := g.state.knowsHomes() && !g.state.budgetsOpening() || time.Since(g.started) > maxHomesWait
 	if g.shuttingDown.Load() || g.state.routes() == nil || !knowsHomes || g.linkBusy.Load() || g.processor.busy.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -30,7 +30,8 @@
 	registryVersion revision.Version
 	knowledge       endpoints.Knowledge
 	eras            revision.Tracker
-	steppedBackAt   time.Time // when the store's last step back was seen; zero for never
+	restored        *restoreReport // of the last step back; nil for none
+	steppedBackAt   time.Time      // when the store's last step back was seen; zero for never
 	evacuations     evacuation.Set
 	groups          []*group
 	retries         *retrybudget.Budget
