--- a/soak/fault.go
+++ b/soak/fault.go
@@ -24,6 +24,10 @@
 	drainDuration = 3500 * time.Millisecond
 	// storeDelay is what StoreSlow adds to each response.
 	storeDelay = 250 * time.Millisecond
+	// stepBackAway is how long the store is away before it comes back from a copy, and
+	// rewriteDelay the longest time until others have written again what it has lost.
+	stepBackAway = time.Second
+	rewriteDelay = 2 * time.Second
 	// linkDelay is what SlowLink adds to each chunk that passes.
 	linkDelay = 100 * time.Millisecond
 	// maxLostWrites is the maximum number of writes that one StoreLoses leaves
@@ -76,6 +80,8 @@
 	case Rewrite:
 		v.rewrites++
 		return h.supervisorDir.Write(v.name+".conf", v.settings())
+	case StepBack:
+		j.stepBack()
 	case StoreDown, StoreSlow, StoreLoses, StoreForgets:
 		j.failStore()
 	case CutReset, CutSilent, CutOneWay:
@@ -152,6 +158,21 @@
 	v.signal(h.supervisorDir, syscall.SIGTERM)
 }
 
+// stepBack lets the store come back from a copy. In every other one, what the operator and the
+// endpoints have written since is written again only after it is back.
+func (j *injector) stepBack() {
+	h := j.harness
+	drill := standin.Drill{Age: j.event.Duration, Away: stepBackAway}
+	if j.event.Target%2 == 1 {
+		drill.RewriteAfter = rewriteDelay
+	}
+	now := time.Now()
+	h.mu.Lock()
+	h.history.StoreFaults = append(h.history.StoreFaults, Interval{now, now.Add(drill.Away + drill.RewriteAfter)})
+	h.mu.Unlock()
+	h.store.Drill(drill)
+}
+
 func (j *injector) failStore() {
 	h, d := j.harness, j.event.Duration
 	now := time.Now()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -41,6 +41,7 @@
 	SayPause     Kind = "sayPause"     // an endpoint rejects requests and says that it wants none for a time
 	LethalPart   Kind = "lethalPart"   // requests with a part of a prompt that crashes endpoints are sent to VMs
 	OddEntry     Kind = "oddEntry"     // another writer leaves an entry in the registry
+	StepBack     Kind = "stepBack"     // the store is away for a moment and comes back from a copy of an age of Duration
 )
 
 var kinds = []Kind{
@@ -62,8 +63,17 @@
 // callers send prompts with parts.
 const firstPartSeed = 3000
 
+// stepBackKinds are the kinds from which schedules draw from firstStepBackSeed on.
+var stepBackKinds = append(partKinds[:len(partKinds):len(partKinds)], StepBack, StepBack, StepBack, StepBack)
+
+// firstStepBackSeed is the first seed whose schedule may draw from stepBackKinds.
+const firstStepBackSeed = 5000
+
 // kindsOf returns the kinds from which the schedule of a seed draws.
 func kindsOf(seed uint64) []Kind {
+	if seed >= firstStepBackSeed {
+		return stepBackKinds
+	}
 	if seed >= firstPartSeed {
 		return partKinds
 	}
