escrow: what was written off once is not written off at the next step back

Found by reading: a row that says that its predecessor was lost kept saying so, and each later step back would have written off what was undrawn again. A row counts as lost only if its era was not settled.

--- a/core/escrow/declare_test.go
+++ b/core/escrow/declare_test.go
@@ -194,6 +194,17 @@
 		})
 	}
 
+	// Guards against tokens that are written off again at each later step back.
+	It("are written off once for a VM that was killed over one", func() {
+		d.restore(before)
+		d.run(time.Second, "b", "c")
+		d.add("a")
+		d.run(12*time.Second, "a", "b", "c")
+		d.restore(d.content())
+		d.run(4*time.Second, "a", "b", "c")
+		Expect(d.store.marks[d.store.version.Era].Mark).To(And(HaveField("Settled", true), HaveField("Uncertain", false)))
+	})
+
 	// Guards against transactions that were decided on rows of the era before, and whose
 	// numbers have been given out again.
 	It("refuse a transaction of the era before, whatever versions the rows have", func() {
--- a/core/escrow/settle.go
+++ b/core/escrow/settle.go
@@ -64,9 +64,12 @@
 // knowsHolders reports whether this VM knows all VMs that may hold tokens which the store does
 // not show: it has run since the group was last settled.
 func (b *Budgets) knowsHolders() bool {
-	return b.before != nil && b.since <= max(b.settledEra, b.snapshot.SettledEra)
+	return b.before != nil && b.since <= b.lastSettled()
 }
 
+// lastSettled returns the last era that is known to be settled; 0 for none.
+func (b *Budgets) lastSettled() revision.Era { return max(b.settledEra, b.snapshot.SettledEra) }
+
 // holders returns the VMs that may hold tokens which the last snapshot does not show. There are
 // none in a group whose VMs have all started in this era.
 func (b *Budgets) holders() holders {
@@ -76,7 +79,7 @@
 	}
 	for vm, row := range b.snapshot.Allocations {
 		switch {
-		case row.VMAllocations.Lost:
+		case row.VMAllocations.Lost && row.VMAllocations.Era > b.lastSettled():
 			h.lost = append(h.lost, vm)
 		case vm != b.vm && row.VMAllocations.Era < b.era && b.mayDeclare(vm, row.VMAllocations):
 			h.waiting = append(h.waiting, vm)
--- a/core/escrow/step_back.go
+++ b/core/escrow/step_back.go
@@ -82,6 +82,9 @@
 	if b.before != nil {
 		b.before.remember(b.members, b.rows, b.open())
 	}
+	if b.open() { // what the predecessor had drawn is written off
+		b.taken.lost, b.taken.row.Lost = false, false
+	}
 	b.era, b.mark = era, VersionedMark{}
 	b.pending = nil
 	b.rows, b.snapshot = map[string]VersionedAllocations{}, Snapshot{}
