--- a/core/escrow/settle.go
+++ b/core/escrow/settle.go
@@ -153,6 +153,12 @@
 	return b.clock.ms >= b.waitingSinceMs+successorWait.Milliseconds()
 }
 
+// MarkChange replaces the mark of a transaction's era.
+type MarkChange struct {
+	Mark    Mark
+	Version revision.Version // required of the mark; zero when it must not exist
+}
+
 // planMark adds to a transaction the mark that begins its era, or settles it. What VMs may have
 // drawn that will not declare it is written off first.
 func (b *Budgets) planMark(t *Transaction, now time.Time) {
@@ -205,6 +211,15 @@
 	return true
 }
 
+// WrittenOff returns the tokens of all accounts that the transaction writes off.
+func (t *Transaction) WrittenOff() int64 {
+	tokens := int64(0)
+	for _, c := range t.Totals {
+		tokens += c.WrittenOff
+	}
+	return tokens
+}
+
 // recordMark records the mark of the era unless a newer one is known.
 func (b *Budgets) recordMark(m VersionedMark) {
 	if m.Version.Era != b.era || m.Version.IsZero() || b.mark.Version.NewerThan(m.Version) {
--- a/core/escrow/transaction.go
+++ b/core/escrow/transaction.go
@@ -26,20 +26,6 @@
 	Declaration *Declaration
 }
 
-// Declaration sums up in tokens what a VM declares, for logs.
-type Declaration struct {
-	Kept    int64 // granted to the VM, and still so
-	GivenUp int64 // granted to the VM, but perhaps moved away by others
-	Lost    int64 // of those kept, those of which the store knew nothing; negative if it showed more
-	Rows    int   // rows of other VMs that are written again as this VM has seen them
-}
-
-// MarkChange replaces the mark of a transaction's era.
-type MarkChange struct {
-	Mark    Mark
-	Version revision.Version // required of the mark; zero when it must not exist
-}
-
 // TotalChange replaces the total of one account.
 type TotalChange struct {
 	Account   string
@@ -83,15 +69,6 @@
 	return true
 }
 
-// WrittenOff returns the tokens of all accounts that the transaction writes off.
-func (t *Transaction) WrittenOff() int64 {
-	tokens := int64(0)
-	for _, c := range t.Totals {
-		tokens += c.WrittenOff
-	}
-	return tokens
-}
-
 // TakeOver takes over the row of the previous incarnation. version is the row's
 // version, 0 when there is none; the previous incarnation had ended when the
 // store's clock showed previousEndMs.
