gateway, evacuation: the second read after a step back is repeated if it fails

Found by reading and by its spec: a failed second read was not made again, so that an evacuation which the operator had ended in the lost seconds stayed; and a read of the same version as the one known was ignored, in a store that nobody writes to. Both specs failed before.

--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -460,6 +460,24 @@
 	return false
 }
 
+// check fails if an account is overspent, or falsely exhausted, after a step.
+func (f *fleet) check(seed uint64, step int) {
+	if problem := f.overspent(); problem != "" {
+		Fail(fmt.Sprintf("seed %d, step %d: %s", seed, step, problem))
+	}
+	if problem := f.falselyExhausted(); problem != "" {
+		Fail(fmt.Sprintf("seed %d, step %d: falsely exhausted: %s", seed, step, problem))
+	}
+}
+
+// checkEnd fails if an account is overspent once all VMs have spent what they may.
+func (f *fleet) checkEnd(seed uint64) {
+	f.spendAll()
+	if problem := f.overspent(); problem != "" {
+		Fail(fmt.Sprintf("seed %d, all spend what they may: %s", seed, problem))
+	}
+}
+
 var _ = Describe("Budgets", func() {
 	moves := 0
 	AfterEach(func() { AddReportEntry("rows moved from", moves) })
@@ -469,17 +487,9 @@
 			f := newFleet(seed)
 			for step := range stepsPerSeed {
 				f.step()
-				if problem := f.overspent(); problem != "" {
-					Fail(fmt.Sprintf("seed %d, step %d: %s", seed, step, problem))
-				}
-				if problem := f.falselyExhausted(); problem != "" {
-					Fail(fmt.Sprintf("seed %d, step %d: falsely exhausted: %s", seed, step, problem))
-				}
-			}
-			f.spendAll()
-			if problem := f.overspent(); problem != "" {
-				Fail(fmt.Sprintf("seed %d, all spend what they may: %s", seed, problem))
+				f.check(seed, step)
 			}
+			f.checkEnd(seed)
 			moves += f.store.moves
 		}
 	})
--- a/core/escrow/step_back_test.go
+++ b/core/escrow/step_back_test.go
@@ -1,7 +1,6 @@
 package escrow
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -197,18 +196,10 @@
 				}
 				f.step()
 				f.copyStore()
-				if problem := f.overspent(); problem != "" {
-					Fail(fmt.Sprintf("seed %d, step %d: %s", seed, step, problem))
-				}
-				if problem := f.falselyExhausted(); problem != "" {
-					Fail(fmt.Sprintf("seed %d, step %d: falsely exhausted: %s", seed, step, problem))
-				}
+				f.check(seed, step)
 			}
 			f.drain()
-			f.spendAll()
-			if problem := f.overspent(); problem != "" {
-				Fail(fmt.Sprintf("seed %d, all spend what they may: %s", seed, problem))
-			}
+			f.checkEnd(seed)
 			played += f.drills.played
 			moves += f.store.moves
 		}
--- a/core/evacuation/set.go
+++ b/core/evacuation/set.go
@@ -38,14 +38,17 @@
 	known   bool
 	version revision.Version
 	domains map[string]bool
+	// provisional is set if domains are kept that the store may have lost.
+	provisional bool
 }
 
 // Apply applies a change unless it is older than what is known, and returns the domains
 // whose evacuation has started and ended by it, in order.
 func (s *Set) Apply(c Change) (started, ended []string) {
-	if s.known && !c.Version.NewerThan(s.version) {
+	if s.known && !c.Version.NewerThan(s.version) && !s.confirms(c) {
 		return nil, nil
 	}
+	s.provisional = c.Restored || s.provisional && !c.Complete
 	next := map[string]bool{}
 	if !c.Complete || c.Restored {
 		maps.Copy(next, s.domains)
@@ -61,6 +64,11 @@
 	return started, ended
 }
 
+// confirms reports whether a complete read of the version that is known says what of it holds.
+func (s *Set) confirms(c Change) bool {
+	return s.provisional && c.Complete && !c.Restored && c.Version == s.version
+}
+
 // missingIn returns the domains of a that b lacks, in order.
 func missingIn(a, b map[string]bool) []string {
 	var list []string
--- a/core/evacuation/set_test.go
+++ b/core/evacuation/set_test.go
@@ -37,6 +37,8 @@
 		{"a view of the era before is ignored", []Change{{Version: revision.Version{Era: 1, Number: 3}, Complete: true, Started: []string{"b"}}, read(9, "a")}, []string{"b"}},
 		// Guards against an evacuation that ends because the copy is from before its start.
 		{"a read of a copy keeps what the operator has still to write again", []Change{read(9, "a"), {Version: revision.Version{Era: 1, Number: 3}, Complete: true, Restored: true, Started: []string{"b"}}}, []string{"a", "b"}},
+		// Guards against an evacuation that stays for good in a store that nobody writes to.
+		{"a read of the same version, once the operator has had the time to write again, counts", []Change{read(9, "a"), {Version: revision.Version{Era: 1, Number: 3}, Complete: true, Restored: true}, {Version: revision.Version{Era: 1, Number: 3}, Complete: true}}, []string{}},
 		{"the first read counts, even at version 0", []Change{read(0, "a")}, []string{"a"}},
 	} {
 		It("holds what the store said last: "+c.name, func() {
--- a/io/gateway/step_back_test.go
+++ b/io/gateway/step_back_test.go
@@ -8,9 +8,27 @@
 	. "github.com/onsi/gomega"
 
 	"hawthornspar/core/endpoints"
+	"hawthornspar/core/evacuation"
 	"hawthornspar/core/revision"
 )
 
+// operatorStore responds with evacuated failure domains.
+type operatorStore struct {
+	Store
+	observe   func(revision.Era)
+	version   revision.Version
+	evacuated []string
+	err       error
+}
+
+func (s *operatorStore) Operations(context.Context) (Operations, revision.Version, error) {
+	if s.err != nil {
+		return Operations{}, revision.Version{}, s.err
+	}
+	s.observe(s.version.Era)
+	return Operations{Evacuations: evacuation.Change{Version: s.version, Complete: true, Started: s.evacuated}}, s.version, nil
+}
+
 var _ = Describe("A VM that has read the store since it has come back from a copy", func() {
 	there := endpoints.Registration{ID: "e1", Service: "apps", Address: "10.0.0.1:80", Born: 7}
 	leaving := there
@@ -69,6 +87,30 @@
 		Expect(g.state.endpoints.Count("apps", time.Now().Add(rewriteTime))).To(Equal(1))
 	})
 
+	// Guards against requests to an evacuated failure domain, because the copy is from before the
+	// evacuation, and against an evacuation that is kept though the operator has ended it.
+	It("keeps an evacuation that the copy lacks, until the operator has had the time to write it again", func() {
+		store := &operatorStore{observe: observe, version: revision.Version{Era: 1, Number: 90}, evacuated: []string{"north"}}
+		g.store = store
+		table := &operationsTable{gateway: g}
+		_, err := table.read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		store.version, store.evacuated = revision.Version{Era: 2, Number: 50}, nil
+		_, err = table.read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.state.evacuatedDomains()).To(Equal(int64(1)))
+		g.state.steppedBackAt = time.Now().Add(-rewriteTime)
+		table.rereadAt = time.Now()
+		store.err = errHistoryLost
+		_, _, err = table.watch(context.Background(), store.version)
+		Expect(err).To(MatchError(errHistoryLost))
+		store.err = nil
+		store.version.Number++
+		_, _, err = table.watch(context.Background(), store.version)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.state.evacuatedDomains()).To(BeZero())
+	})
+
 	// Guards against DRAIN: an endpoint that the copy shows as it was before it left.
 	It("does not use an endpoint again that the copy shows as it was before it left", func() {
 		g.updateRegistry(registryUpdate{RegistryChange: endpoints.RegistryChange{Put: []endpoints.Registration{leaving}, Removed: []string{"e2"}}, version: revision.Version{Era: 1, Number: 91}, graceEnd: time.Now()})
--- a/io/gateway/sync.go
+++ b/io/gateway/sync.go
@@ -72,9 +72,12 @@
 func (o *operationsTable) read(ctx context.Context) (revision.Version, error) {
 	sent := time.Now()
 	ops, version, err := o.gateway.store.Operations(ctx)
-	o.rereadAt = o.gateway.state.restoredUntil(sent)
+	responded := err == nil || !version.IsZero()
+	if responded {
+		o.rereadAt = o.gateway.state.restoredUntil(sent)
+	}
 	ops.Evacuations.Restored = !o.rereadAt.IsZero()
-	o.apply(ops, sent, sent, err == nil || !version.IsZero())
+	o.apply(ops, sent, sent, responded)
 	return version, err
 }
 
