--- a/core/escrow/declare_test.go
+++ b/core/escrow/declare_test.go
@@ -224,6 +224,21 @@
 		Expect(d.store.apply("b", &late).Applied).To(BeTrue(), "its rows would allow it")
 	})
 
+	// Guards against 402 with tokens left: drawn tokens that are repaid as if they were borrowed,
+	// as the VM's row is missing in the copy.
+	It("are not repaid to a home VM by a VM whose row the copy lacks", func() {
+		d.restore(before)
+		delete(d.store.allocations, "a")
+		a := d.byName["a"]
+		a.budgets.SetHomes(3, false)
+		d.register(a)
+		b, s := a.budgets, d.store.snapshot()
+		b.SetStoreClock(d.store.nowMs, a.now)
+		b.SetSnapshot(s)
+		b.TakeOver(VMAllocations{}, s.Allocations["a"].Version, 0)
+		Expect(b.Repay("acme", a.now)).To(Equal(Repayment{}))
+	})
+
 	It("are declared without any request", func() {
 		d.restore(before)
 		d.run(time.Second, "a", "b", "c")
--- a/core/escrow/home_loan.go
+++ b/core/escrow/home_loan.go
@@ -72,7 +72,7 @@
 
 // onlyBorrows reports whether all tokens of the VM are borrowed.
 func (b *Budgets) onlyBorrows() bool {
-	return !b.isHome && b.ready && b.ownVersion.IsZero() && b.pending == nil
+	return !b.isHome && b.ready && b.ownVersion.IsZero() && b.pending == nil && !b.undeclared
 }
 
 // Accounts returns the names of the accounts of which tokens have been granted
