gateway, escrow: logs which VMs an unsettled group waits for

A declaration in several transactions notes its accounts itself: one whose row did not change would have been declared twice (by reading, only with more than 40 accounts of a group).

--- a/core/escrow/declare.go
+++ b/core/escrow/declare.go
@@ -12,6 +12,8 @@
 	GivenUp int64 // granted to the VM, but perhaps moved away by others
 	Lost    int64 // of those kept, those of which the store knew nothing; negative if it showed more
 	Rows    int   // rows of other VMs that are written again as this VM has seen them
+	// accounts are those that the transaction declares.
+	accounts []string
 }
 
 // planDeclaration adds to a transaction what the VM holds of each account, and to the totals
@@ -50,6 +52,7 @@
 			return false
 		}
 	}
+	t.Declaration.accounts = append(t.Declaration.accounts, name)
 	allocation := a.allocation(0, b.homeVMs, b.undrawn(a))
 	t.VMAllocations.Accounts[name] = allocation
 	a.bounds = append(a.bounds, bound{sequence: t.VMAllocations.Sequence, at: now, allocation: allocation})
@@ -189,10 +192,8 @@
 		b.dirty, b.plannedAt = true, time.Time{}
 		return
 	}
-	for name, allocation := range t.VMAllocations.Accounts {
-		if allocation != b.restored.Accounts[name] {
-			b.accounts[name].declared = true
-		}
+	for _, name := range t.Declaration.accounts {
+		b.accounts[name].declared = true
 	}
 	b.restored = t.VMAllocations
 }
--- a/io/gateway/budget.go
+++ b/io/gateway/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"hawthornspar/core/escrow"
@@ -28,6 +27,8 @@
 	group    *group
 	store    dependency
 	lastRead time.Time // when all rows were last read
+	// unsettledLogAt is when the VMs that the group waits for are logged next.
+	unsettledLogAt time.Time
 }
 
 func (b *budgetSyncer) loop(ctx context.Context) {
@@ -83,6 +84,7 @@
 	b.lastRead = time.Now()
 	b.observe(snapshot, storeMs, requestedAt)
 	b.reportFigures(time.Now())
+	b.logUnsettled(time.Now())
 	return nil
 }
 
@@ -167,26 +169,6 @@
 	b.logTransaction(t, o.Applied)
 }
 
-// logTransaction logs what a transaction has changed, and how far the group has come since the
-// store's last step back. The caller holds the state's lock.
-func (b *budgetSyncer) logTransaction(t *escrow.Transaction, applied bool) {
-	log, sequence := b.gateway.log, t.VMAllocations.Sequence
-	for _, c := range t.Totals {
-		log.Info("budget drawn", "account", c.Account, "applied", applied, "tokens", c.Grant, "reclaimed", c.Reclaimed, "declared", c.Declared, "writtenOff", c.WrittenOff,
-			"unaccounted", c.Total.Unaccounted, "left", c.Undrawn, "spent", t.VMAllocations.Accounts[c.Account].Spent, "sequence", sequence)
-	}
-	for _, m := range t.Moves {
-		log.Info("budget moved", "from", m.VM, "applied", applied, "tokens", m.Tokens, "sequence", sequence)
-	}
-	if t.Declaration != nil && applied {
-		b.gateway.recordDeclaration(b.group, *t.Declaration)
-	}
-	if t.Mark != nil && applied && t.Mark.Mark.Settled {
-		b.gateway.metrics.Increment("budget_groups_settled", strconv.FormatBool(!t.Mark.Mark.Uncertain))
-		log.Info("budgets settled", "group", b.group.number, "era", t.Era.String(), "afterMs", t.VMAllocations.StoreMs-t.Mark.Mark.BeganMs, "writtenOff", t.WrittenOff(), "uncertain", t.Mark.Mark.Uncertain)
-	}
-}
-
 // close returns the free tokens, as long as the store accepts them.
 func (b *budgetSyncer) close(ctx context.Context) {
 	s := b.gateway.state
