--- a/core/escrow/declare_test.go
+++ b/core/escrow/declare_test.go
@@ -8,19 +8,19 @@
 	. "github.com/onsi/gomega"
 )
 
-// drillFixture plays single step backs with VMs that share one account.
-type drillFixture struct {
+// stepBackFixture plays single step backs with VMs that share one account.
+type stepBackFixture struct {
 	*fleet
 	byName map[string]*vm
 }
 
-// prepaidForDrills is the budget of the fixture's account in tokens.
-const prepaidForDrills = 100_000
+// prepaidForStepBacks is the budget of the fixture's account in tokens.
+const prepaidForStepBacks = 100_000
 
-// newDrillFixture returns three VMs that share the account in a settled group.
-func newDrillFixture() *drillFixture {
-	d := &drillFixture{fleet: newDrilledFleet(1), byName: map[string]*vm{}}
-	d.vms, d.prepaid = nil, map[string]int64{"acme": prepaidForDrills}
+// newStepBackFixture returns three VMs that share the account in a settled group.
+func newStepBackFixture() *stepBackFixture {
+	d := &stepBackFixture{fleet: newSteppingFleet(1), byName: map[string]*vm{}}
+	d.vms, d.prepaid = nil, map[string]int64{"acme": prepaidForStepBacks}
 	for _, name := range []string{"a", "b", "c"} {
 		d.add(name)
 	}
@@ -29,7 +29,7 @@
 }
 
 // add starts a VM, or its next incarnation.
-func (d *drillFixture) add(name string) {
+func (d *stepBackFixture) add(name string) {
 	v := d.byName[name]
 	if v == nil {
 		v = &vm{name: name, now: time.Unix(1_000, 0)}
@@ -41,7 +41,7 @@
 }
 
 // run lets VMs exchange rows with the store for a time.
-func (d *drillFixture) run(t time.Duration, names ...string) {
+func (d *stepBackFixture) run(t time.Duration, names ...string) {
 	for end := d.store.nowMs + t.Milliseconds(); d.store.nowMs < end; d.advance(100 * time.Millisecond) {
 		for _, name := range names {
 			d.sync(d.byName[name])
@@ -50,7 +50,7 @@
 }
 
 // sync reads the store for a VM and writes what is due.
-func (d *drillFixture) sync(v *vm) {
+func (d *stepBackFixture) sync(v *vm) {
 	if !d.register(v) {
 		return
 	}
@@ -73,7 +73,7 @@
 }
 
 // draw lets a VM draw and spend tokens.
-func (d *drillFixture) draw(name string, tokens int64) {
+func (d *stepBackFixture) draw(name string, tokens int64) {
 	v := d.byName[name]
 	v.budgets.AddWaiting("acme", tokens)
 	for range 3 {
@@ -86,19 +86,19 @@
 }
 
 // content returns the store's content now.
-func (d *drillFixture) content() storeCopy {
+func (d *stepBackFixture) content() storeCopy {
 	d.copyStore()
-	return d.drills.copies[len(d.drills.copies)-1]
+	return d.stepBacks.copies[len(d.stepBacks.copies)-1]
 }
 
 // spendable returns the tokens that VMs have spent and can still spend.
-func (d *drillFixture) spendable(names ...string) int64 {
+func (d *stepBackFixture) spendable(names ...string) int64 {
 	for range 40 {
 		for _, name := range names {
 			v := d.byName[name]
-			v.budgets.AddWaiting("acme", prepaidForDrills)
+			v.budgets.AddWaiting("acme", prepaidForStepBacks)
 			d.sync(v)
-			v.budgets.RemoveWaiting("acme", prepaidForDrills)
+			v.budgets.RemoveWaiting("acme", prepaidForStepBacks)
 			d.spend(v, "acme")
 		}
 		d.advance(400 * time.Millisecond)
@@ -113,10 +113,10 @@
 }
 
 var _ = Describe("A VM's budgets, when the store comes back from a copy", func() {
-	var d *drillFixture
+	var d *stepBackFixture
 	var before storeCopy
 	BeforeEach(func() {
-		d = newDrillFixture()
+		d = newStepBackFixture()
 		before = d.content()
 		d.draw("a", 50_000) // lost
 		d.draw("b", 20_000)
@@ -131,7 +131,7 @@
 		d.run(8*time.Second, "d")
 		Expect(d.byName["d"].budgets.Balance("acme", d.byName["d"].now).Granted).To(BeZero(), "the others have not declared")
 		d.run(5*time.Second, "a", "b", "c", "d")
-		Expect(d.spendable("a", "b", "c", "d")).To(Equal(int64(prepaidForDrills)))
+		Expect(d.spendable("a", "b", "c", "d")).To(Equal(int64(prepaidForStepBacks)))
 	})
 
 	// Guards against VMs that cannot write their rows any more, and refuse requests for good
@@ -139,7 +139,7 @@
 	It("let the VMs that run draw all that is left", func() {
 		d.restore(before)
 		d.run(4*time.Second, "a", "b", "c")
-		Expect(d.spendable("a", "b", "c")).To(Equal(int64(prepaidForDrills)))
+		Expect(d.spendable("a", "b", "c")).To(Equal(int64(prepaidForStepBacks)))
 	})
 
 	for _, c := range []struct {
@@ -168,7 +168,7 @@
 		It("strand nothing and give nothing out twice: "+c.name, func() {
 			c.play()
 			d.run(4*time.Second, c.vms...)
-			Expect(d.spendable(c.vms...) + d.used["acme"]).To(Equal(int64(prepaidForDrills)))
+			Expect(d.spendable(c.vms...) + d.used["acme"]).To(Equal(int64(prepaidForStepBacks)))
 		})
 	}
 
@@ -182,15 +182,15 @@
 	} {
 		It("strand what a VM held that is killed over it, and what was undrawn, at most: "+c.name, func() {
 			held := d.store.allocations["a"].VMAllocations.Accounts["acme"].net()
-			undrawn := prepaidForDrills - before.totals["acme"].Total.Drawn
+			undrawn := prepaidForStepBacks - before.totals["acme"].Total.Drawn
 			d.restore(before)
 			c.play()
 			d.run(12*time.Second, c.vms...)
 			Expect(d.store.marks[d.store.version.Era].Mark).To(And(HaveField("Settled", true), HaveField("Uncertain", true)))
 			spent := d.spendable(c.vms...) + d.used["acme"]
 			AddReportEntry("tokens spent of 100,000, held by the killed VM, undrawn in the copy", []int64{spent, held, undrawn})
-			Expect(spent).To(BeNumerically("<=", prepaidForDrills))
-			Expect(spent).To(BeNumerically(">=", prepaidForDrills-held-undrawn))
+			Expect(spent).To(BeNumerically("<=", prepaidForStepBacks))
+			Expect(spent).To(BeNumerically(">=", prepaidForStepBacks-held-undrawn))
 		})
 	}
 
@@ -250,7 +250,7 @@
 
 var _ = Describe("Tokens that were moved from a dead VM's row in the lost seconds", func() {
 	It("are not moved twice", func() {
-		d := newDrillFixture()
+		d := newStepBackFixture()
 		d.draw("a", 10_000)
 		held := d.store.allocations["a"].VMAllocations.Accounts["acme"]
 		delete(d.byName, "a")
@@ -259,12 +259,12 @@
 		d.run(time.Second, "b", "c")
 		before := d.content()
 		other := d.store.allocations["c"].VMAllocations.Accounts["acme"]
-		d.draw("b", prepaidForDrills-held.Granted-other.Granted+other.movable()+100)
+		d.draw("b", prepaidForStepBacks-held.Granted-other.Granted+other.movable()+100)
 		moved := held.Granted - d.store.allocations["a"].VMAllocations.Accounts["acme"].Granted
 		Expect(moved).To(BeNumerically(">", 0))
 		d.restore(before)
 		d.run(4*time.Second, "b", "c")
 		Expect(d.store.allocations["a"].VMAllocations.Accounts["acme"].Granted).To(Equal(held.Granted-moved), fmt.Sprint(moved, " were moved"))
-		Expect(d.spendable("b", "c")).To(BeNumerically("<=", prepaidForDrills-10_000))
+		Expect(d.spendable("b", "c")).To(BeNumerically("<=", prepaidForStepBacks-10_000))
 	})
 })
--- a/core/escrow/property_test.go
+++ b/core/escrow/property_test.go
@@ -129,7 +129,7 @@
 	used             map[string]int64 // by completed requests, and by those of crashed VMs in full
 	starts           int
 	storeUnreachable bool
-	drills           *drills // nil for a store that states no era
+	stepBacks        *stepBacks // nil for a store that states no era
 }
 
 func newFleet(seed uint64) *fleet {
@@ -363,7 +363,7 @@
 // exchange reads the store if necessary and sends it the next transaction. The
 // request or the response may be lost or delayed.
 func (f *fleet) exchange(v *vm) {
-	if f.storeUnreachable || v.frozen || f.drills != nil && !f.register(v) {
+	if f.storeUnreachable || v.frozen || f.stepBacks != nil && !f.register(v) {
 		return
 	}
 	if !v.budgets.Ready() || v.budgets.HasUnreadTotals() || f.random.IntN(6) == 0 {
--- a/core/escrow/step_back_test.go
+++ b/core/escrow/step_back_test.go
@@ -49,8 +49,8 @@
 	firstMs     int64 // of the incarnation
 }
 
-// drills lets the store come back from copies.
-type drills struct {
+// stepBacks lets the store come back from copies.
+type stepBacks struct {
 	copies []storeCopy
 	played int
 }
@@ -66,17 +66,17 @@
 	registered  map[string]registration
 }
 
-// Times of the simulated drills in milliseconds.
+// Times of the simulated stepBacks in milliseconds.
 const (
 	maxCopyAgeMs = 8_000
 	firstDrawMs  = 1_000 // from a VM's registration to its first draw
 	aliveMs      = 30_000
 )
 
-// newDrilledFleet returns a fleet whose store states eras.
-func newDrilledFleet(seed uint64) *fleet {
+// newSteppingFleet returns a fleet whose store states eras.
+func newSteppingFleet(seed uint64) *fleet {
 	f := newFleet(seed)
-	f.drills = &drills{}
+	f.stepBacks = &stepBacks{}
 	f.store.version.Era, f.store.nowMs = 1, 100_000
 	f.store.marks, f.store.over, f.store.registered = map[revision.Era]VersionedMark{}, map[revision.Era]bool{}, map[string]registration{}
 	return f
@@ -109,7 +109,7 @@
 
 // copyStore keeps a copy of the store.
 func (f *fleet) copyStore() {
-	s, d := f.store, f.drills
+	s, d := f.store, f.stepBacks
 	d.copies = append(d.copies, storeCopy{s.nowMs, s.version.Number, maps.Clone(s.totals), maps.Clone(s.allocations), maps.Clone(s.marks), maps.Clone(s.over), maps.Clone(s.registered)})
 	for len(d.copies) > 0 && d.copies[0].atMs < s.nowMs-maxCopyAgeMs {
 		d.copies = d.copies[1:]
@@ -118,7 +118,7 @@
 
 // stepBack lets the store come back from a random copy that has rows.
 func (f *fleet) stepBack() {
-	usable := slices.DeleteFunc(slices.Clone(f.drills.copies), func(c storeCopy) bool { return len(c.allocations) == 0 })
+	usable := slices.DeleteFunc(slices.Clone(f.stepBacks.copies), func(c storeCopy) bool { return len(c.allocations) == 0 })
 	if len(usable) == 0 {
 		return
 	}
@@ -147,8 +147,8 @@
 		s.marks[e] = mark
 	}
 	s.version = revision.Version{Era: era, Number: c.number}
-	f.drills.copies = nil
-	f.drills.played++
+	f.stepBacks.copies = nil
+	f.stepBacks.played++
 }
 
 // drain lets all VMs draw and spend whatever they can.
@@ -188,8 +188,8 @@
 	// Guards against BUDGET: tokens that were drawn or spent in the lost seconds, and are drawn
 	// again by a VM that knows the restored rows only (review/11).
 	It("are never overspent, beside crashes, power loss, freezes, lost and late responses, loans, moves, and VMs that are added and replaced", func() {
-		for seed := range uint64(drilledSeeds) {
-			f := newDrilledFleet(seed)
+		for seed := range uint64(stepBackSeeds) {
+			f := newSteppingFleet(seed)
 			for step := range stepsPerSeed {
 				if f.random.IntN(20) == 0 {
 					f.stepBack()
@@ -200,11 +200,11 @@
 			}
 			f.drain()
 			f.checkEnd(seed)
-			played += f.drills.played
+			played += f.stepBacks.played
 			moves += f.store.moves
 		}
 	})
 })
 
-// drilledSeeds is the number of runs with drills.
-const drilledSeeds = 10_000
+// stepBackSeeds is the number of runs with step backs.
+const stepBackSeeds = 10_000
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -162,15 +162,15 @@
 // endpoints have written since is written again only after it is back.
 func (j *injector) stepBack() {
 	h := j.harness
-	drill := standin.Drill{Age: j.event.Duration, Away: stepBackAway}
+	back := standin.StepBack{Age: j.event.Duration, Away: stepBackAway}
 	if j.event.Target%2 == 1 {
-		drill.RewriteAfter = rewriteDelay
+		back.RewriteAfter = rewriteDelay
 	}
 	now := time.Now()
 	h.mu.Lock()
-	h.history.StoreFaults = append(h.history.StoreFaults, Interval{now, now.Add(drill.Away + drill.RewriteAfter)})
+	h.history.StoreFaults = append(h.history.StoreFaults, Interval{now, now.Add(back.Away + back.RewriteAfter)})
 	h.mu.Unlock()
-	h.store.Drill(drill)
+	h.store.StepBack(back)
 }
 
 func (j *injector) failStore() {
